Watch discovery on sockets whatever the settings say of membership

The module asks for the list only where membership_mode is "subscribe". The node never opened a connection to it, went on with the list it was started with, and lost its servers one by one as a release replaced them.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -78,6 +78,8 @@
     }
     let mut pairs = Vec::new();
     flatten(String::new(), &file.settings, &mut pairs);
+    // Whether the simulator pushes lists says nothing of sockets: discovery there tells only those that ask.
+    let settings = Settings { must_follow: true, ..read_settings(&pairs)? };
     Ok(Config {
         name: variable("LB_NAME").unwrap_or(file.name),
         listen: address("LB_LISTEN", file.listen)?,
@@ -85,7 +87,7 @@
         seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?,
         sockets,
         known: file.known,
-        settings: read_settings(&pairs)?,
+        settings,
     })
 }
 
--- a/tests/node_servers.rs
+++ b/tests/node_servers.rs
@@ -36,6 +36,21 @@
     assert_eq!(old.count(), 1);
 }
 
+// Guards against a node that waits for a push: on sockets discovery tells only those that ask.
+#[test]
+fn the_list_is_watched_also_where_the_settings_call_it_pushed() {
+    let (old, new) = (CacheServer::serving("old"), CacheServer::serving("new"));
+    let discovery = Discovery::start(&[]);
+    let mut pushed = config(discovery.address);
+    pushed["settings"]["membership_mode"] = "automatic".into();
+    pushed["known"]["hosts"] = vec![old.entry("s-1", "ready")].into();
+    let node = Node::ready(&pushed);
+    discovery.tell(true, &[new.entry("s-2", "ready")]);
+    discovery.wait_until_told(2);
+    assert_eq!(node.read("read", 1).body, b"new");
+    assert_eq!(old.count(), 0);
+}
+
 // Guards against a request written to a kept connection that its server has closed meanwhile.
 #[test]
 fn a_connection_that_its_server_closed_is_not_used_again() {
