Tell clients that give up early from servers that jam

Each such time-out counted as a jam: it cut the server's in-flight limit and the node's admission, so that patient clients were refused as well, and all of them came again. A time-out that came before an answer would have been late now tells nothing of the server.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -369,9 +369,13 @@
         let Some(attempt) = held.attempts.get_mut(outcome.attempt as usize) else { return self.keep(held) };
         attempt.status = Some(outcome.status);
         let fetched = outcome.note == Some(Note::Miss) && self.settings.mode == CacheMode::Through;
+        // A client that gave up before an answer would have been late tells of itself, not of the server.
+        let impatient = outcome.status == Status::TimedOut
+            && outcome.took < self.class(&held.request).aim.mul_f64(AIM_SHARE);
         let ok = match outcome.status {
             Status::Ok | Status::Miss => Some(true),
             Status::Canceled | Status::Ignored => None,
+            _ if impatient => None,
             // A failed fetch is the origin's failure, not the server's: another would ask the same origin.
             _ if fetched => None,
             _ => Some(false),
@@ -404,7 +408,7 @@
         }
         let par = held.request.expected_work.unwrap_or(self.class(&held.request).aim).as_secs_f64().max(1e-6);
         if let Ok(i) = self.servers.binary_search_by(|server| server.entry.id.cmp(&outcome.server)) {
-            let told = matches!(outcome.status, Status::Ok | Status::TimedOut) && !fetched;
+            let told = matches!(outcome.status, Status::Ok | Status::TimedOut) && !fetched && !impatient;
             if told && self.warmth(&self.servers[i].entry, now) >= 1.0 {
                 let kind = &mut self.kinds[self.servers[i].kind];
                 kind.answers = (kind.answers + 1.0).min(PACE_SPAN);
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -78,6 +78,34 @@
     assert!(sent > 2_500, "{sent} of 3000 were sent after recovery");
 }
 
+#[test]
+fn clients_that_give_up_early_do_not_shut_sound_servers() {
+    // The danger: time-outs that clients set below a usual answer read as jams, and patient clients are refused.
+    let mut node = Node::with_servers(settings(), 6);
+    let (mut patient, mut served) = (0, 0);
+    for step in 0..3_000u64 {
+        // Every answer takes 40 ms; of three clients two wait 25 ms for theirs.
+        let patience = if step % 3 == 0 { 400 } else { 25 };
+        node.request(0, step % 300, ms(patience));
+        node.pass(ms(1));
+        let now = node.now;
+        for id in node.all_out() {
+            if now.since(node.requests[&id].sent[0].at) >= ms(40) {
+                node.answer(&id, Status::Ok);
+            }
+        }
+        node.requests.retain(|_, open| {
+            let over = open.ended && open.sent.iter().all(|sent| sent.status.is_some());
+            let waits = open.request.valid_until >= now + ms(100);
+            patient += u32::from(over && waits);
+            served += u32::from(over && waits && open.sent.iter().any(|s| s.status == Some(Status::Ok)));
+            !over
+        });
+    }
+    assert!(patient > 900, "{patient} of 1000 patient ones have ended");
+    assert!(served * 100 >= patient * 95, "{served} of {patient} patient ones were served");
+}
+
 #[test]
 fn a_burst_is_held_for_room_and_refused_in_time_without_it() {
     // The danger: requests refused in a burst of milliseconds while their aim leaves them time to wait.
