Reload discovery's address on SIGHUP instead of dying of it

No handler was installed, so the signal's default ended the node with what it had taken. Now the file is read again, the watch moves to the address in it and asks for the whole list there. The file goes before LB_DISCOVERY at a reload; one that cannot be read changes nothing and is logged.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,4 +1,4 @@
-//! One real node: the decision module on sockets. Start-up, wiring, SIGTERM and the exit code.
+//! One real node: the decision module on sockets. Start-up, wiring, signals and the exit code.
 #![forbid(unsafe_code)]
 
 mod net {
@@ -16,12 +16,13 @@
 use net::upstream::Upstream;
 use pinhead::Balancer;
 use std::error::Error;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::runtime;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
@@ -53,6 +54,7 @@
     let listener =
         TcpListener::bind(listen).await.map_err(|error| format!("cannot listen on {listen}: {error}"))?;
     let mut terminate = signal(SignalKind::terminate())?;
+    let hangup = signal(SignalKind::hangup())?;
     eprintln!("node {name} listens on {}", listener.local_addr()?);
 
     // A request holds a connection of its client for as long as one to a cache server.
@@ -60,6 +62,7 @@
     // Unbounded, and bounded all the same by the connections: each has one request, or one attempt, in it.
     let (events, inputs) = mpsc::unbounded_channel();
     let (stages, stage) = watch::channel(Stage::Serving);
+    let (moves, discovery) = watch::channel(discovery);
     let (follow, ready) = (Rc::new(Notify::new()), Rc::default());
     let upstream = Rc::new(Upstream::new(most, settings.connect_timeout, settings.keepalive));
     let front = Rc::new(Front::new(&settings, Rc::clone(&ready), stage, events.clone()));
@@ -69,6 +72,7 @@
 
     spawn_local(upstream.clone().sweep());
     spawn_local(watching.run(follow.clone()));
+    spawn_local(reload(hangup, moves));
     let balancer = Balancer::new(settings, seed);
     spawn_local(Driver::new(balancer, upstream, follow, ready, events).run(known, inputs));
     let serving = spawn_local(serve(listener, front, most));
@@ -81,3 +85,17 @@
     serving.await?;
     Ok(())
 }
+
+/// At each SIGHUP the configuration is read anew for where discovery is. A file that does not say changes
+/// nothing: the node goes on with what it has.
+async fn reload(mut hangup: Signal, moves: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        match config::reload_discovery(|name| std::env::var(name).ok()) {
+            Ok(address) => {
+                eprintln!("told to reload: discovery is at {address}");
+                moves.send_if_modified(|held| std::mem::replace(held, address) != address);
+            }
+            Err(error) => eprintln!("told to reload, and nothing changes: {error}"),
+        }
+    }
+}
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -3,6 +3,7 @@
 use crate::net::discovery::Listing;
 use pinhead::wire::{read_settings, WireError};
 use pinhead::Settings;
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -62,16 +63,16 @@
 /// Fewer descriptors than this don't hold the runtime's own and one connection each way.
 const LEAST_SOCKETS: usize = 32;
 
+/// What a reload takes from the file.
+#[derive(Deserialize)]
+struct Reloaded {
+    discovery: String,
+}
+
 /// Reads the file that `LB_CONFIG` names; the other variables go before what it says.
 pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
-    let path = PathBuf::from(variable("LB_CONFIG").ok_or(ConfigError::NoPath)?);
-    let text = std::fs::read(&path).map_err(|error| ConfigError::Unreadable(path.clone(), error))?;
-    let file: File =
-        serde_json::from_slice(&text).map_err(|error| ConfigError::Malformed(path.clone(), error))?;
-    let address = |name: &'static str, own: String| {
-        let text = variable(name).unwrap_or(own);
-        text.parse().map_err(|_| ConfigError::Address(name, text))
-    };
+    let file: File = read(&variable)?;
+    let address = |name: &'static str, own: String| parse_address(name, variable(name).unwrap_or(own));
     let sockets = file.limits.sockets;
     if sockets < LEAST_SOCKETS {
         return Err(ConfigError::Sockets(sockets));
@@ -91,6 +92,23 @@
     })
 }
 
+/// Reads the file anew for where discovery is. `LB_DISCOVERY` does not go before it here: the environment is
+/// as old as the process, and the file was replaced to say something else.
+pub fn reload_discovery(variable: impl Fn(&str) -> Option<String>) -> Result<SocketAddr, ConfigError> {
+    let file: Reloaded = read(&variable)?;
+    parse_address("discovery", file.discovery)
+}
+
+fn read<T: DeserializeOwned>(variable: &impl Fn(&str) -> Option<String>) -> Result<T, ConfigError> {
+    let path = PathBuf::from(variable("LB_CONFIG").ok_or(ConfigError::NoPath)?);
+    let text = std::fs::read(&path).map_err(|error| ConfigError::Unreadable(path.clone(), error))?;
+    serde_json::from_slice(&text).map_err(|error| ConfigError::Malformed(path, error))
+}
+
+fn parse_address(name: &'static str, text: String) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|_| ConfigError::Address(name, text))
+}
+
 /// Nested JSON as the wire's pairs of path and value.
 fn flatten(path: String, value: &Value, pairs: &mut Vec<(String, String)>) {
     let below = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -15,7 +15,7 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
@@ -111,7 +111,8 @@
 
 /// The client of discovery.
 pub struct Discovery {
-    pub address: SocketAddr,
+    /// Where it listens: a reload of the configuration moves it.
+    pub address: watch::Receiver<SocketAddr>,
     /// Version of the list held; `None` where none is.
     pub seq: Option<u64>,
     pub random: fastrand::Rng,
@@ -119,42 +120,54 @@
 }
 
 impl Discovery {
-    /// Watches whenever it is told to, until a call fails: then the module is told and says when to try again.
+    /// Watches once it is told to, at whichever address holds, for as long as the node runs.
     pub async fn run(mut self, follow: Rc<Notify>) {
+        let mut moves = self.address.clone();
+        follow.notified().await;
+        loop {
+            let address = *moves.borrow_and_update();
+            tokio::select! {
+                () = self.watch(address, &follow) => return,
+                moved = moves.changed() => match moved {
+                    // Who listens there may count its versions anew: it is asked for the whole list.
+                    Ok(()) => self.seq = None,
+                    Err(_) => return,
+                },
+            }
+        }
+    }
+
+    /// Watches until a call fails: then the module is told and says when to try again.
+    async fn watch(&mut self, address: SocketAddr, follow: &Notify) {
         let mut failures = 0;
         let mut link = None;
         loop {
-            follow.notified().await;
-            if failures > 0 {
-                // Nodes that lost the same discovery together must not come back together.
-                let step = BACKOFF.saturating_mul(1 << (failures - 1).min(8)).min(BACKOFF_MOST);
-                sleep(step.mul_f64(0.5 + self.random.f64())).await;
-            }
-            loop {
-                let limit = WATCH + OVERDUE;
-                match timeout(limit, self.call(&mut link)).await.unwrap_or(Err(CallError::Overdue)) {
-                    Ok(listing) => {
-                        failures = 0;
-                        self.seq = Some(listing.seq);
-                        if self.events.send(Input::Listing(listing)).is_err() {
-                            return;
-                        }
+            let limit = WATCH + OVERDUE;
+            match timeout(limit, self.call(address, &mut link)).await.unwrap_or(Err(CallError::Overdue)) {
+                Ok(listing) => {
+                    failures = 0;
+                    self.seq = Some(listing.seq);
+                    if self.events.send(Input::Listing(listing)).is_err() {
+                        return;
                     }
-                    Err(error) => {
-                        eprintln!("discovery: {error}");
-                        failures += 1;
-                        link = None;
-                        if self.events.send(Input::ListingFailed).is_err() {
-                            return;
-                        }
-                        break;
+                }
+                Err(error) => {
+                    eprintln!("discovery: {error}");
+                    failures += 1;
+                    link = None;
+                    if self.events.send(Input::ListingFailed).is_err() {
+                        return;
                     }
+                    follow.notified().await;
+                    // Nodes that lost the same discovery together must not come back together.
+                    let step = BACKOFF.saturating_mul(1 << (failures - 1).min(8)).min(BACKOFF_MOST);
+                    sleep(step.mul_f64(0.5 + self.random.f64())).await;
                 }
             }
         }
     }
 
-    async fn call(&self, link: &mut Option<Link>) -> Result<Listing, CallError> {
+    async fn call(&self, address: SocketAddr, link: &mut Option<Link>) -> Result<Listing, CallError> {
         // A kept connection that discovery has closed meanwhile is no failure of the call.
         let usable = match link {
             Some(link) => link.sender.ready().await.is_ok(),
@@ -165,13 +178,13 @@
         }
         let link = match link {
             Some(link) => link,
-            None => link.insert(self.connect().await?),
+            None => link.insert(connect(address).await?),
         };
         let path = match self.seq {
             Some(seq) => format!("/v1/servers?after={seq}&wait_ms={}", WATCH.as_millis()),
             None => "/v1/servers".to_owned(),
         };
-        let request = Request::get(path).header(HOST, self.address.to_string()).body(Empty::new())?;
+        let request = Request::get(path).header(HOST, address.to_string()).body(Empty::new())?;
         let response = link.sender.send_request(request).await?;
         if response.status() != StatusCode::OK {
             return Err(CallError::Status(response.status()));
@@ -179,16 +192,16 @@
         let body = Limited::new(response.into_body(), LARGEST).collect().await?.to_bytes();
         Ok(serde_json::from_slice(&body)?)
     }
+}
 
-    async fn connect(&self) -> Result<Link, CallError> {
-        let stream = timeout(CONNECT, TcpStream::connect(self.address)).await;
-        let stream = stream.unwrap_or(Err(std::io::ErrorKind::TimedOut.into()))?;
-        stream.set_nodelay(true)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        let task = tokio::task::spawn_local(async move {
-            // How it ends shows at the call that is out, or at the next one.
-            let _ = connection.await;
-        });
-        Ok(Link { sender, task: task.abort_handle() })
-    }
+async fn connect(address: SocketAddr) -> Result<Link, CallError> {
+    let stream = timeout(CONNECT, TcpStream::connect(address)).await;
+    let stream = stream.unwrap_or(Err(std::io::ErrorKind::TimedOut.into()))?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let task = tokio::task::spawn_local(async move {
+        // How it ends shows at the call that is out, or at the next one.
+        let _ = connection.await;
+    });
+    Ok(Link { sender, task: task.abort_handle() })
 }
--- a/tests/node_common/mod.rs
+++ b/tests/node_common/mod.rs
@@ -294,7 +294,17 @@
     }
 
     pub fn terminate(&self) {
-        let sent = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration file and says so.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.config, text).unwrap();
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, which: &str) {
+        let sent = Command::new("kill").args([which, &self.child.id().to_string()]).status().unwrap();
         assert!(sent.success());
     }
 
--- a/tests/node_lifecycle.rs
+++ b/tests/node_lifecycle.rs
@@ -49,6 +49,28 @@
     assert!(node.exit().success());
 }
 
+// Guards against a SIGHUP that ends the node, or that leaves it with a discovery that has moved away.
+#[test]
+fn a_reload_moves_the_watch_to_the_address_that_the_file_names() {
+    let (old, new) = (CacheServer::serving("old"), CacheServer::serving("new"));
+    let (before, after) =
+        (Discovery::start(&[old.entry("s-1", "ready")]), Discovery::start(&[new.entry("s-2", "ready")]));
+    let node = Node::ready(&config(before.address));
+    before.wait_until_told(1);
+    node.reload("{\"name\":");
+    assert_eq!(node.read("read", 1).body, b"old", "a broken file changes nothing");
+    node.reload(&config(after.address).to_string());
+    // The versions are each discovery's own: the whole list is asked for, then what comes after it.
+    after.wait_until_told(1);
+    assert_eq!(after.asked.lock().unwrap()[0], "/v1/servers");
+    assert_eq!(node.read("read", 2).body, b"new");
+    let calls = before.calls();
+    before.tell(true, &[old.entry("s-1", "ready")]);
+    after.tell(false, &[new.entry("s-2", "ready")]);
+    after.wait_until_told(2);
+    assert_eq!(before.calls(), calls, "the old address is asked no more");
+}
+
 // Guards against a node that starts on half a configuration, or that dies with a panic's many lines.
 #[test]
 fn a_missing_or_broken_configuration_is_one_line_and_a_failure() {
