Charge the retry of a quick error by the share of an answer that it took

Each retry cost the budget as much as a whole answer, so it was spent at once, and requests that a sound server would have served were refused, to come again from their clients.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -18,6 +18,8 @@
 /// Retry budget: each request pays in this much, and no more than so many are saved up.
 const RETRY_SHARE: f64 = 0.2;
 const RETRY_SAVED: f64 = 10.0;
+/// What the retry of an error costs of that budget at least, however soon the error came.
+const RETRY_LEAST: f64 = 0.1;
 /// An answer is late past this share of its aim, from a server at least this busy.
 const AIM_SHARE: f64 = 0.7;
 const BUSY: f64 = 0.8;
@@ -450,8 +452,9 @@
             return;
         }
         // Asking the origin after a miss is the ordinary way on, any other attempt a retry on a budget.
-        let retry = held.attempts.last().is_some_and(|a| a.status != Some(Status::Miss));
-        let barred = retry && self.retry_budget < 1.0;
+        let retry = held.attempts.last().filter(|a| a.status != Some(Status::Miss));
+        let cost = retry.map_or(0.0, |last| self.retry_cost(now, &held.request, last));
+        let barred = self.retry_budget < cost;
         // A fleet that is jammed as a whole drains only if most is refused before it is sent.
         let good = self.good + f64::from(MIN_CALLS);
         let excess = held.attempts.is_empty() && held.luck * (good + self.bad) > good * ADMIT;
@@ -475,7 +478,8 @@
             }
             return self.end(now, held, actions);
         };
-        self.retry_budget = (self.retry_budget + if retry { -1.0 } else { RETRY_SHARE }).min(RETRY_SAVED);
+        let paid = if retry.is_some() { -cost } else { RETRY_SHARE };
+        self.retry_budget = (self.retry_budget + paid).min(RETRY_SAVED);
         let slot = self.slot(now);
         let server = &mut self.servers[i];
         (server.used, server.slot) = (if server.slot == slot { server.used + 1 } else { 1 }, slot);
@@ -494,6 +498,16 @@
         self.keep(held);
     }
 
+    /// What trying again after `last` takes from the budget. The budget keeps retries from multiplying the
+    /// servers' work; an error that came sooner than an answer does has cost them that much less of it.
+    fn retry_cost(&self, now: Timestamp, request: &Request, last: &Attempt) -> f64 {
+        if last.status != Some(Status::Failed) {
+            return 1.0;
+        }
+        let usual = self.usual[self.class_slot(request)].max(1e-6);
+        (now.since(last.sent).as_secs_f64() / usual).clamp(RETRY_LEAST, 1.0)
+    }
+
     fn keep(&mut self, held: Held) {
         self.held.insert(held.request.id.clone(), held);
     }
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -20,6 +20,33 @@
     assert!(sends <= 300 + 300 / 5 + 10, "{sends} sends for 300 requests");
 }
 
+#[test]
+fn quick_errors_are_tried_elsewhere_beyond_the_budget_of_slow_ones() {
+    // The danger: several servers fail part of their requests at once, few enough not to trip, and what one of
+    // the sound servers would have answered in time is refused.
+    let served = |error_after: u64| {
+        let mut node = Node::with_servers(settings(), 6);
+        let (mut served, mut calls) = (0, std::collections::BTreeMap::new());
+        for step in 0..1_000u64 {
+            let id = node.request(0, step % 300, ms(400));
+            while let Some((_, server)) = node.out(&id) {
+                // Five of the six servers fail every second request.
+                let calls = calls.entry(server.clone()).or_insert(0u32);
+                *calls += 1;
+                let fails = server.as_str() < "f" && *calls % 2 == 0;
+                node.now = node.now + ms(if fails { error_after } else { 40 });
+                node.answer(&id, if fails { Status::Failed } else { Status::Ok });
+                served += usize::from(!fails);
+            }
+            node.requests.remove(&id);
+        }
+        served
+    };
+    let (quick, slow) = (served(4), served(40));
+    assert!(quick >= 990, "{quick} of 1000 were served past quick errors");
+    assert!(slow < 980, "{slow} of 1000 were served past slow errors: the budget held");
+}
+
 /// Offers a request a millisecond of 300 keys, each attempt answered after `took`, or 300 ms by the slow server;
 /// returns how many were sent, and how many to the slow one.
 fn offer(node: &mut Node, took: u64, slow: Option<&ServerId>) -> (usize, usize) {
