Cut off peers that send no whole request within 2.5 s of connecting

Such a peer is due an error or a close within 3 s. The head of a request could take 60 s and its body for ever. Connections that have brought a request stay open while they rest; a body that does not come in time is answered with 408.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -24,7 +24,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{oneshot, watch, Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 const REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
 const REQ_OWNER: HeaderName = HeaderName::from_static("req-owner");
@@ -32,6 +32,9 @@
 const REQ_COST: HeaderName = HeaderName::from_static("req-cost");
 /// A connection that brings no whole head for this long is closed, so that dead ones can't fill the table.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+/// A peer owes its first request whole within this time of connecting, and each further body within it of its
+/// head: one that sends less, or nothing, is due an error or a close within 3 s.
+const WHOLE_REQUEST: Duration = Duration::from_millis(2_500);
 /// After a failed accept (no descriptor left, say) the next one waits: tried at once, it would fail and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -80,11 +83,15 @@
     front: Rc<Front>,
     close: Rc<Notify>,
     number: Cell<u64>,
+    opened: Instant,
+    /// Heads of requests that came on it.
+    heads: Cell<u64>,
 }
 
 impl Place {
     fn new(front: Rc<Front>) -> Self {
-        let place = Self { front, close: Rc::default(), number: Cell::default() };
+        let (close, number, heads) = Default::default();
+        let place = Self { front, close, number, opened: Instant::now(), heads };
         place.enter();
         place
     }
@@ -98,6 +105,21 @@
         idle.waiting.borrow_mut().insert(self.number.get(), self.close.clone());
     }
 
+    /// Ends when the time for a first request is over and none has come.
+    async fn silence(&self) {
+        sleep_until(self.opened + WHOLE_REQUEST).await;
+        if self.heads.get() > 0 {
+            std::future::pending().await
+        }
+    }
+
+    /// Until when the request whose head has just come must be whole.
+    fn head(&self) -> Instant {
+        let heads = self.heads.replace(self.heads.get() + 1);
+        let from = if heads == 0 { self.opened } else { Instant::now() };
+        from + WHOLE_REQUEST
+    }
+
     fn leave(&self) {
         self.front.idle.waiting.borrow_mut().remove(&self.number.get());
     }
@@ -181,7 +203,7 @@
     let place = Place::new(front.clone());
     let service = service_fn(async |request| {
         place.leave();
-        let response = respond(&front, request).await;
+        let response = respond(&front, request, place.head()).await;
         place.enter();
         Ok::<_, Infallible>(response)
     });
@@ -192,6 +214,7 @@
     tokio::select! {
         biased;
         _ = &mut serving => return,
+        () = place.silence() => return,
         _ = stage.wait_for(|stage| *stage == Stage::Closing) => serving.as_mut().graceful_shutdown(),
         () = place.close.notified() => serving.as_mut().graceful_shutdown(),
     }
@@ -214,8 +237,8 @@
     }
 }
 
-async fn respond(front: &Front, request: Request<Incoming>) -> Reply {
-    let mut response = answer(front, request).await.unwrap_or_else(|rejected| rejected);
+async fn respond(front: &Front, request: Request<Incoming>, whole_by: Instant) -> Reply {
+    let mut response = answer(front, request, whole_by).await.unwrap_or_else(|rejected| rejected);
     if *front.stage.borrow() >= Stage::Leaving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -224,7 +247,7 @@
 
 type Reply = Response<Full<Bytes>>;
 
-async fn answer(front: &Front, request: Request<Incoming>) -> Result<Reply, Reply> {
+async fn answer(front: &Front, request: Request<Incoming>, whole_by: Instant) -> Result<Reply, Reply> {
     let at = Instant::now();
     let (head, body) = request.into_parts();
     let target =
@@ -250,10 +273,11 @@
     if body.size_hint().lower() > LARGEST_BODY as u64 {
         return Err(too_large());
     }
-    let body = match Limited::new(body, LARGEST_BODY).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => return Err(too_large()),
-        Err(_) => return Err(plain(StatusCode::BAD_REQUEST, "the body broke off")),
+    let body = match timeout_at(whole_by, Limited::new(body, LARGEST_BODY).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(too_large()),
+        Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
+        Ok(Err(_)) => return Err(plain(StatusCode::BAD_REQUEST, "the body broke off")),
     };
     Ok(hand_over(front, at, key, target, head.method, asked, body).await)
 }
--- a/tests/node_clients.rs
+++ b/tests/node_clients.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
 
 // Guards against rewriting what only the client and the cache server may read.
 #[test]
@@ -71,6 +72,33 @@
     assert_eq!(node.read("read", 1).status(), 200);
 }
 
+// Guards against peers that hold connections open with half a request or none.
+#[test]
+fn a_peer_that_sends_no_whole_request_is_cut_off_and_a_client_that_rests_is_not() {
+    let server = CacheServer::serving("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let node = Node::ready(&config(discovery.address));
+    let mut resting = node.client();
+    assert_eq!(resting.ask(&read("read", 1, 20_000)).status(), 200);
+    let start = Instant::now();
+    let head = "Req-Id: 9\r\nReq-Kind: keyed\r\nReq-Deadline-Ms: 60000\r\n";
+    let put = format!("PUT /api/1 HTTP/1.1\r\nHost: s\r\n{head}Content-Length: 9\r\n\r\nhalf");
+    let half = ["", "GET /api/1 HT", "GET /api/1 HTTP/1.1\r\nHost: s\r\n", &put];
+    let peers = half.map(|text| {
+        let mut peer = node.client();
+        peer.send(text);
+        peer
+    });
+    for (mut peer, sent) in peers.into_iter().zip(half) {
+        let got = peer.answer().map(|message| message.status());
+        assert!(got.is_none_or(|status| status >= 400), "{got:?} to {sent:?}");
+    }
+    // Far more than the 3 s that are allowed, far less than any other limit here.
+    assert!(start.elapsed() < Duration::from_secs(30), "cut off after {:?}", start.elapsed());
+    assert_eq!(resting.ask(&read("read", 2, 20_000)).status(), 200);
+    assert_eq!(server.count(), 2);
+}
+
 // Guards against taking clients before there is a server to send to.
 #[test]
 fn a_node_is_ready_once_it_knows_a_ready_server() {
