Notice a lost discovery call before all counts as told

A call that the network swallowed was given up 24 s after it was made, and with the module's pause the next one followed up to 8.5 s later; what discovery has to tell counts as told 2 s after a call's wait, or 6 s after a call that does not wait. Waits are 5 s now (the agent answers at no cost), an answer is overdue half a second after them, and the most that lies between two calls stays below the limits.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -19,17 +19,20 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
-/// How long a watch asks discovery to wait. Each call costs the one discovery of all nodes as much as dozens
-/// of entries, and a change ends the wait at once, so long waits lose nothing.
-const WATCH: Duration = Duration::from_secs(20);
-/// A watch that says nothing for this long after its wait is over is dead: the network swallowed it.
-const OVERDUE: Duration = Duration::from_secs(4);
-const CONNECT: Duration = Duration::from_secs(2);
+/// How long a watch asks discovery to wait. A change ends the wait at once, and the agent that holds the
+/// address answers at no cost: a short wait only bounds how long a lost call goes unnoticed.
+const WATCH: Duration = Duration::from_secs(5);
+/// An answer that is this late is lost. What discovery has to tell counts as told 2 s after a call's wait, and
+/// by then the next call must have been made.
+const OVERDUE: Duration = Duration::from_millis(500);
+const CONNECT: Duration = Duration::from_secs(1);
 /// A list longer than this is no list.
 const LARGEST: usize = 8 << 20;
-/// Wait before a call that follows failed ones: the first step, doubled with each failure up to the most.
+/// Wait before a call that follows failed ones: the first step, doubled with each failure up to the most. With
+/// the module's own pause and a connection that does not come up it stays under the 6 s after which all counts
+/// as told.
 const BACKOFF: Duration = Duration::from_millis(200);
-const BACKOFF_MOST: Duration = Duration::from_secs(3);
+const BACKOFF_MOST: Duration = Duration::from_secs(1);
 
 /// Discovery's answer: the whole list, or what changed.
 #[derive(Debug, Default, Deserialize)]
@@ -142,8 +145,12 @@
         let mut failures = 0;
         let mut link = None;
         loop {
-            let limit = WATCH + OVERDUE;
-            match timeout(limit, self.call(address, &mut link)).await.unwrap_or(Err(CallError::Overdue)) {
+            // Without a version the call does not wait.
+            let wait = if self.seq.is_some() { WATCH } else { Duration::ZERO };
+            match timeout(wait + OVERDUE, self.call(address, &mut link))
+                .await
+                .unwrap_or(Err(CallError::Overdue))
+            {
                 Ok(listing) => {
                     failures = 0;
                     self.seq = Some(listing.seq);
--- a/tests/node_servers.rs
+++ b/tests/node_servers.rs
@@ -169,6 +169,32 @@
     assert_eq!(server.count(), 6);
 }
 
+// Guards against a discovery call that the network swallowed, and a list that is stale for as long.
+#[test]
+fn a_call_that_discovery_does_not_answer_is_soon_made_again() {
+    let server = CacheServer::serving("value");
+    let discovery = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = discovery.local_addr().unwrap();
+    let list =
+        serde_json::json!({"seq": 1, "whole": true, "hosts": [server.entry("s-1", "ready")]}).to_string();
+    std::thread::spawn(move || {
+        let mut swallowed = Vec::new();
+        for (call, stream) in discovery.incoming().map_while(Result::ok).enumerate() {
+            let mut reader = std::io::BufReader::new(stream.try_clone().unwrap());
+            let mut stream = stream;
+            if call > 0 && matches!(Message::read(&mut reader), Ok(Some(_))) {
+                // A node that has gone is told nothing.
+                let _ = stream.write_all(answer("200 OK", "", &list).as_bytes());
+            }
+            swallowed.push(stream);
+        }
+    });
+    let start = Instant::now();
+    let node = Node::ready(&config(address));
+    assert!(start.elapsed() < Duration::from_secs(15), "ready after {:?}", start.elapsed());
+    assert_eq!(node.read("read", 1).status(), 200);
+}
+
 // Guards against a list that cannot be read: the node goes on with what it has, and asks again.
 #[test]
 fn a_broken_list_is_a_failed_call_and_the_watch_comes_back() {
