Serve on over kept connections while a node leaves, up to what the kill allows

After SIGTERM every answer told its client to drop the connection, and half a second later the rest were closed. Kept connections now stay usable until the slowest request taken would still be answered before SIGKILL; only then are clients asked to go.

--- a/src/main.rs
+++ b/src/main.rs
@@ -27,8 +27,14 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
 
-/// New connections keep coming for 0.4 s after SIGTERM: until the front has noticed, the node serves them.
-const LEAVING: Duration = Duration::from_millis(500);
+/// SIGKILL follows SIGTERM no sooner than after the longest deadline and this much. A longer deadline than
+/// `DEADLINE_MOST` counts as that.
+const BEFORE_KILL: Duration = Duration::from_millis(700);
+const DEADLINE_MOST: Duration = Duration::from_secs(3);
+/// A client gives a try up after this share of its class's deadline at the latest.
+const TRY_SHARE: f64 = 0.6;
+/// Taken off the time to leave, for answers that are on their way.
+const LEAVING_MARGIN: Duration = Duration::from_millis(100);
 /// Descriptors left for the runtime, the listener, discovery and the standard streams.
 const SPARE_SOCKETS: usize = 24;
 
@@ -66,6 +72,7 @@
     let (follow, ready) = (Rc::new(Notify::new()), Rc::default());
     let upstream = Rc::new(Upstream::new(most, settings.connect_timeout, settings.keepalive));
     let front = Rc::new(Front::new(&settings, Rc::clone(&ready), stage, events.clone()));
+    let leaving = leaving(settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default());
     let seq = (!known.hosts.is_empty()).then_some(known.seq);
     let random = fastrand::Rng::with_seed(seed);
     let watching = Discovery { address: discovery, seq, random, events: events.clone() };
@@ -80,12 +87,20 @@
     terminate.recv().await;
     eprintln!("node {name} is told to stop");
     stages.send_replace(Stage::Leaving);
-    sleep(LEAVING).await;
+    sleep(leaving).await;
     stages.send_replace(Stage::Closing);
     serving.await?;
     Ok(())
 }
 
+/// For how long a node that is told to stop serves on. Clients keep the connections they have, and the front
+/// may have no other node ready yet: as long as the slowest request taken would still be answered before the
+/// kill, they are better served here than sent away.
+fn leaving(longest_deadline: Duration) -> Duration {
+    let spare = longest_deadline.min(DEADLINE_MOST).saturating_sub(longest_deadline.mul_f64(TRY_SHARE));
+    BEFORE_KILL + spare - LEAVING_MARGIN
+}
+
 /// At each SIGHUP the configuration is read anew for where discovery is. A file that does not say changes
 /// nothing: the node goes on with what it has.
 async fn reload(mut hangup: Signal, moves: watch::Sender<SocketAddr>) {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -42,7 +42,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
     Serving,
-    /// It serves as ever, and every answer asks the client to use another connection.
+    /// It serves as ever, and says that it is not ready for more clients.
     Leaving,
     /// It accepts no more, idle connections close, and what was taken is finished.
     Closing,
@@ -239,7 +239,7 @@
 
 async fn respond(front: &Front, request: Request<Incoming>, whole_by: Instant) -> Reply {
     let mut response = answer(front, request, whole_by).await.unwrap_or_else(|rejected| rejected);
-    if *front.stage.borrow() >= Stage::Leaving {
+    if *front.stage.borrow() == Stage::Closing {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/tests/node_lifecycle.rs
+++ b/tests/node_lifecycle.rs
@@ -35,6 +35,29 @@
     assert!(node.exit().success());
 }
 
+// Guards against sending clients away while the front may have no other node for them yet.
+#[test]
+fn a_leaving_node_serves_on_kept_connections() {
+    let server = CacheServer::serving("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let mut config = config(discovery.address);
+    for lane in config["settings"]["lanes"].as_array_mut().unwrap() {
+        lane["hard_limit_us"] = 3_000_000.into();
+    }
+    // A machine that is too busy may see the node close before it asks: then it asks another one.
+    let kept = (0..10).any(|_| {
+        let node = Node::ready(&config);
+        let (mut client, mut front) = (node.client(), node.client());
+        assert_eq!(client.ask(&read("read", 1, 20_000)).status(), 200);
+        node.terminate();
+        let health = "GET /healthz HTTP/1.1\r\nHost: s\r\n\r\n";
+        while front.try_ask(health).is_some_and(|answer| answer.status() == 200) {}
+        let answered = client.try_ask(&read("read", 2, 20_000));
+        answered.is_some_and(|answer| answer.status() == 200 && answer.header("connection").is_none())
+    });
+    assert!(kept, "every answer of a leaving node asked its client to go");
+}
+
 // Guards against clients that sit idle and keep a node from its end.
 #[test]
 fn a_terminated_node_does_not_wait_for_idle_clients() {
