Judge a new breaker window with the one before where that failed in part

A server that fails half of its calls stays closed by its rate, but on the first three calls of each window it trips by chance. A window that follows one of many failures now counts along with it; after a sound window three calls trip as before.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -66,11 +66,14 @@
     window_ends: Timestamp,
     calls: u32,
     failures: u32,
+    /// Calls and failures of the window before, where it was one of many failures.
+    before: (u32, u32),
 }
 
 impl Breaker {
     fn new(now: Timestamp) -> Self {
-        Self { state: State::Closed, epoch: 0, window_ends: now + WINDOW, calls: 0, failures: 0 }
+        let (window_ends, before) = (now + WINDOW, (0, 0));
+        Self { state: State::Closed, epoch: 0, window_ends, calls: 0, failures: 0, before }
     }
 
     fn enter(&mut self, state: State, now: Timestamp) {
@@ -112,12 +115,17 @@
             }
             (State::Closed, Some(ok)) => {
                 if now >= self.window_ends {
+                    // A server that failed much and stayed closed fails on: judged by the first few calls of
+                    // each new window alone, it would trip by chance at a rate that is under the threshold.
+                    let partly = f64::from(self.failures) >= COMMON_RATE * f64::from(self.calls);
+                    let recent = partly && now < self.window_ends + WINDOW;
+                    self.before = if recent { (self.calls, self.failures) } else { (0, 0) };
                     (self.window_ends, self.calls, self.failures) = (now + WINDOW, 0, 0);
                 }
                 self.calls += 1;
                 self.failures += u32::from(!ok);
-                return self.calls >= MIN_CALLS
-                    && f64::from(self.failures) >= TRIP_RATE * f64::from(self.calls);
+                let (calls, failures) = (self.calls + self.before.0, self.failures + self.before.1);
+                return self.calls >= MIN_CALLS && f64::from(failures) >= TRIP_RATE * f64::from(calls);
             }
             _ => {}
         }
--- a/tests/breaker.rs
+++ b/tests/breaker.rs
@@ -49,6 +49,20 @@
     assert_eq!(node.call(7, Status::Ok), Some(own));
 }
 
+#[test]
+fn a_rate_under_the_threshold_does_not_trip_at_the_turn_of_a_window() {
+    // The danger: a server that fails half of its calls trips by chance on the first three of each window.
+    let (mut node, own) = pair();
+    for _ in 0..10 {
+        assert_eq!(node.call(7, Status::Failed), Some(own.clone()));
+        assert_eq!(node.call(7, Status::Ok), Some(own.clone()));
+    }
+    node.pass(ms(5_000));
+    for status in [Status::Failed, Status::Ok, Status::Failed, Status::Ok] {
+        assert_eq!(node.call(7, status), Some(own.clone()));
+    }
+}
+
 #[test]
 fn an_open_breaker_blocks_until_its_cooldown_ends_and_three_trials_close_it() {
     let (mut node, own) = pair();
