Say when to come back in every refusal on sockets

Where limits.retry_after is false, which describes the simulator's clients, the node answered refusals with "Retry-After: 0.000": come again at once. It now passes on what the module advises, up to limits.max_retry_after_us.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -60,6 +60,8 @@
     sockets: usize,
 }
 
+/// The setting that says whether clients get the time to stay away.
+const TOLD_WHEN: &str = "limits.retry_after";
 /// Fewer descriptors than this don't hold the runtime's own and one connection each way.
 const LEAST_SOCKETS: usize = 32;
 
@@ -79,6 +81,10 @@
     }
     let mut pairs = Vec::new();
     flatten(String::new(), &file.settings, &mut pairs);
+    // Whether the simulator's clients are told when to come back does not matter on sockets: a refusal may
+    // always say it, and to say no time at all is to ask for the same request again at once.
+    pairs.retain(|(path, _)| path != TOLD_WHEN);
+    pairs.push((TOLD_WHEN.to_owned(), true.to_string()));
     // Whether the simulator pushes lists says nothing of sockets: discovery there tells only those that ask.
     let settings = Settings { must_follow: true, ..read_settings(&pairs)? };
     Ok(Config {
--- a/tests/node_clients.rs
+++ b/tests/node_clients.rs
@@ -121,7 +121,10 @@
 fn a_refusal_comes_at_once_and_says_when_to_come_back() {
     let server = CacheServer::serving("value");
     let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
-    let node = Node::ready(&config(discovery.address));
+    // The setting speaks of the simulator's clients.
+    let mut untold = config(discovery.address);
+    untold["settings"]["limits"]["retry_after"] = json!(false);
+    let node = Node::ready(&untold);
     discovery.tell(false, &[server.entry("s-1", "draining")]);
     discovery.wait_until_told(2);
     let mut client = node.client();
