Keep seldom used connections to servers unless the fleet would fill their table

The rule of `outcome` in src/balance.rs closed a connection not used within 300 s / nodes, 3 s here. Ruled out: that open connections do harm at this size. Now a node closes behind itself only where the nodes are more than the connections that a server has to spare.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -13,8 +13,8 @@
 const COMMON_RATE: f64 = TRIP_RATE / 2.0;
 /// Share of a cold server's stated multiple that is used: a span can touch three half-span slots.
 const COLD_PART: f64 = 0.7;
-/// A node keeps a connection for its next send if that comes within its part of this time.
-const KEPT_OPEN: Duration = Duration::from_secs(300);
+/// Idle connections that all nodes together may keep to a server: well under the table of the smallest one.
+const KEPT_OPEN: f64 = 1000.0;
 /// Retry budget: each request pays in this much, and no more than so many are saved up.
 const RETRY_SHARE: f64 = 0.2;
 const RETRY_SAVED: f64 = 10.0;
@@ -439,8 +439,10 @@
                 server.limit = (server.limit - LIMIT_DOWN).max(LIMIT_LEAST);
             }
             server.in_flight = server.in_flight.saturating_sub(1);
-            // Each of many nodes meets a server now and then: left open, their connections fill its table.
-            if server.in_flight == 0 && server.gap > KEPT_OPEN / self.settings.nodes.max(1) {
+            // A handshake costs the server work, an idle connection only its place. Where the connections of
+            // all nodes would fill its table, one that is used too seldom gives its place up.
+            let part = KEPT_OPEN / f64::from(self.settings.nodes.max(1));
+            if server.in_flight == 0 && part < 1.0 && server.gap > self.settings.keepalive.mul_f64(part) {
                 actions.push(Action::Close { server: server.entry.id.clone() });
             }
             if server.breaker.on_outcome(epoch, ok, now) && self.is_outlier(i, now) {
