Average live weights over lists instead of moving keys with each of them

The list tells sound, lightly used servers weights of 3.0, 1.5, 2.25 and 1.8 in turn every 0.7 s: the size cut by the requests held at that moment. `capacity` in src/balance.rs put the last one into the hash, so each list moved keys to and fro at all 100 nodes in step. Ruled out: too small memories; the misses fell with nothing else changed. What is averaged now is what cuts the weight, so that a server which stays slow loses its keys in two lists.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -50,6 +50,11 @@
 /// What a refusal for want of admission counts: less than a failure, so that admission grows fast again.
 const REFUSED: f64 = 0.25;
 const RATE_SPAN: Duration = Duration::from_secs(2);
+/// Time over which weights that change with load are averaged, the most of it that a single list stands for,
+/// and what a weight counts at least, as a part of the largest.
+const WEIGHT_SPAN: Duration = Duration::from_secs(4);
+const WEIGHT_STEP: Duration = Duration::from_secs(1);
+const WEIGHT_LEAST: f64 = 0.01;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
@@ -136,6 +141,8 @@
 #[derive(Debug)]
 struct Server {
     entry: ServerEntry,
+    /// What its weight is cut by, the requests that it holds: the inverse of the weight, over `WEIGHT_SPAN`.
+    load: f64,
     kind: usize,
     hash: u64,
     breaker: Breaker,
@@ -212,6 +219,8 @@
     good: f64,
     bad: f64,
     counted: Timestamp,
+    /// When the last list came.
+    listed: Timestamp,
 }
 
 impl Balancer {
@@ -240,6 +249,7 @@
             good: 0.0,
             bad: 0.0,
             counted: Timestamp::default(),
+            listed: Timestamp::default(),
         }
     }
 
@@ -282,6 +292,14 @@
     }
 
     fn learn(&mut self, now: Timestamp, entries: &[ServerEntry], full: bool) {
+        let newest = match self.settings.sized {
+            true => 1.0,
+            false => {
+                1.0 - (-now.since(self.listed).min(WEIGHT_STEP).as_secs_f64() / WEIGHT_SPAN.as_secs_f64())
+                    .exp()
+            }
+        };
+        self.listed = now;
         if full {
             self.servers.retain(|server| entries.iter().any(|entry| entry.id == server.entry.id));
         }
@@ -307,12 +325,20 @@
                     });
                     let (entry, breaker, gap) = (entry.clone(), Breaker::new(now), Duration::MAX);
                     let (slot, used, in_flight, limit, sent) = (0, 0, 0, self.limit_start, now);
+                    let load = 0.0;
                     let fresh =
-                        Server { entry, kind, hash, breaker, slot, used, in_flight, limit, sent, gap };
+                        Server { entry, load, kind, hash, breaker, slot, used, in_flight, limit, sent, gap };
                     self.servers.insert(i, fresh);
                 }
             }
         }
+        // A live weight shows the few requests held at one moment. All nodes are told the same: taken as it
+        // comes, each list moves keys to and fro at all of them in step, and each move is a miss.
+        let largest = self.servers.iter().map(|server| server.entry.weight).fold(f64::MIN_POSITIVE, f64::max);
+        for server in &mut self.servers {
+            let told = 1.0 / server.entry.weight.max(largest * WEIGHT_LEAST);
+            server.load += (told - server.load) * if server.load > 0.0 { newest } else { 1.0 };
+        }
     }
 
     fn class_slot(&self, request: &Request) -> usize {
@@ -338,7 +364,7 @@
 
     fn capacity(&self, server: &Server, now: Timestamp) -> f64 {
         let speed = if self.settings.sized { 1.0 } else { (-self.kinds[server.kind].pace).exp() };
-        (server.entry.weight * speed * self.warmth(&server.entry, now)).max(1e-9)
+        (speed / server.load * self.warmth(&server.entry, now)).max(1e-9)
     }
 
     fn slot(&self, now: Timestamp) -> u64 {
