Let what late answers told of a server's load grow old

`outcome` in src/balance.rs cuts the limit, 1 at each of 100 nodes, by 1 for one late answer and gives 0.1 back for one in time: met every 4 s, that takes minutes. Ruled out: a least limit of one. A cut limit now goes back to its start over a window's length.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -32,6 +32,8 @@
 const LIMIT_UP: f64 = 0.1;
 const LIMIT_DOWN: f64 = 1.0;
 const LIMIT_EASE: f64 = 0.3;
+/// Time over which a limit that was cut goes back to its start.
+const LIMIT_SPAN: Duration = WINDOW;
 /// Answers over which the pace of a kind of server is averaged, and how many at par it starts with.
 const PACE_SPAN: f64 = 200.0;
 const PACE_PRIOR: f64 = 10.0;
@@ -151,6 +153,8 @@
     used: u32,
     in_flight: u32,
     limit: f64,
+    /// When an answer last changed it.
+    limited: Timestamp,
     /// When it was last sent to, and how long after the send before.
     sent: Timestamp,
     gap: Duration,
@@ -164,6 +168,15 @@
     answers: f64,
 }
 
+impl Server {
+    /// Its in-flight limit now. What late answers told of its load grows old: a node that meets it seldom
+    /// would wait long for as many answers in time as undo one late one, while the server has room again.
+    fn limit(&self, start: f64, now: Timestamp) -> f64 {
+        let aged = (-now.since(self.limited).as_secs_f64() / LIMIT_SPAN.as_secs_f64()).exp();
+        self.limit + (start - self.limit).max(0.0) * (1.0 - aged)
+    }
+}
+
 #[derive(Debug)]
 struct Attempt {
     entry: ServerEntry,
@@ -325,9 +338,22 @@
                     });
                     let (entry, breaker, gap) = (entry.clone(), Breaker::new(now), Duration::MAX);
                     let (slot, used, in_flight, limit, sent) = (0, 0, 0, self.limit_start, now);
+                    let limited = now;
                     let load = 0.0;
-                    let fresh =
-                        Server { entry, load, kind, hash, breaker, slot, used, in_flight, limit, sent, gap };
+                    let fresh = Server {
+                        entry,
+                        load,
+                        kind,
+                        hash,
+                        breaker,
+                        slot,
+                        used,
+                        in_flight,
+                        limit,
+                        limited,
+                        sent,
+                        gap,
+                    };
                     self.servers.insert(i, fresh);
                 }
             }
@@ -451,6 +477,7 @@
                 kind.pace += ((outcome.took.as_secs_f64() / par).max(1e-3).ln() - kind.pace) / kind.answers;
             }
             let server = &mut self.servers[i];
+            (server.limit, server.limited) = (server.limit(self.limit_start, now), now);
             let (answered, failed) = (ok == Some(true), ok == Some(false));
             let jammed = failed && matches!(outcome.status, Status::QueueFull | Status::TimedOut);
             if answered && (in_time || spare || unqueued) {
@@ -578,7 +605,8 @@
                 && !held.attempts.iter().any(|a| a.entry.id == entry.id)
         };
         let room = |i: usize, share: f64| {
-            f64::from(self.servers[i].in_flight) + held.luck < self.servers[i].limit * share
+            f64::from(self.servers[i].in_flight) + held.luck
+                < self.servers[i].limit(self.limit_start, now) * share
         };
         let aside = matches!(self.settings.mode, CacheMode::Aside { .. });
         let missed = held.attempts.iter().any(|a| a.status == Some(Status::Miss));
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -230,3 +230,24 @@
     // One of very many nodes has only old reports.
     assert!(sent_at(300, 0.0) < 80, "{} of 100 were sent by one of many", sent_at(300, 0.0));
 }
+
+/// One late answer shuts a server to a node that has a limit of one there. Met every few seconds, it would take the
+/// node minutes to earn the limit back, while the server has long had room.
+#[test]
+fn what_a_late_answer_told_of_a_seldom_met_server_grows_old() {
+    let mut sent = 0;
+    for key in 0..40 {
+        let mut node = Node::with_servers(Settings { nodes: 100, ..settings() }, 1);
+        let id = node.request(0, key, ms(400));
+        node.pass(ms(148));
+        node.answer(&id, Status::Ok);
+        let id = node.request(0, key, ms(20));
+        assert!(node.requests[&id].sent.is_empty(), "the late answer still tells");
+        for _ in 0..2 {
+            node.pass(ms(10_000));
+            let id = node.request(0, key, ms(400));
+            sent += node.requests[&id].sent.len();
+        }
+    }
+    assert!(sent >= 76, "{sent} of 80 were sent once it had grown old");
+}
