Judge a seldom met server by how its zone fares, and shut a silent zone as a whole

At fault in src/balance.rs: `on_outcome` wants three calls within a 5 s window, which no node has there, and `is_outlier` stops a trip while other servers fail at 0.3, as the mates of a lost zone do. Ruled out: resets or refused connections (none), stale lists (the silent ones stay listed as ready, rightly). Calls that a breaker lacks are now taken to fare as its zone does. Where a zone fails and another one doesn't, its servers are shut together, one trial in 2 s tells for all, and a restart clears what was held against it.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -11,6 +11,8 @@
 const TRIALS: u32 = 3;
 /// No breaker trips while the other servers fail at this rate: the cause is not that one server's.
 const COMMON_RATE: f64 = TRIP_RATE / 2.0;
+/// Outcomes of a zone over which its failure rate is averaged.
+const ZONE_SPAN: f64 = 8.0;
 /// Share of a cold server's stated multiple that is used: a span can touch three half-span slots.
 const COLD_PART: f64 = 0.7;
 /// Idle connections that all nodes together may keep to a server: well under the table of the smallest one.
@@ -106,8 +108,33 @@
         }
     }
 
+    /// Begins a new window where the present one is over.
+    fn turn(&mut self, now: Timestamp) {
+        if now >= self.window_ends {
+            // A server that failed much and stayed closed fails on: judged by the first few calls of each
+            // new window alone, it would trip by chance at a rate that is under the threshold.
+            let partly = f64::from(self.failures) >= COMMON_RATE * f64::from(self.calls);
+            let recent = partly && now < self.window_ends + WINDOW;
+            self.before = if recent { (self.calls, self.failures) } else { (0, 0) };
+            (self.window_ends, self.calls, self.failures) = (now + WINDOW, 0, 0);
+        }
+    }
+
+    /// Whether calls fail at the rate that trips. Those that are lacking to tell are taken to fare as
+    /// `others` do, where that is known: one of many nodes rarely meets a server often within a window.
+    fn failing(&self, others: Option<f64>) -> bool {
+        let (calls, failures) = (self.calls + self.before.0, self.failures + self.before.1);
+        let lacking = match others {
+            None if self.calls < MIN_CALLS => return false,
+            None => 0,
+            Some(_) => MIN_CALLS.saturating_sub(calls),
+        };
+        let failures = f64::from(failures) + f64::from(lacking) * others.unwrap_or(0.0);
+        failures >= TRIP_RATE * f64::from(calls + lacking)
+    }
+
     /// `ok` is `None` where it tells nothing: a trial gives its place back. Returns whether it should trip.
-    fn on_outcome(&mut self, epoch: u32, ok: Option<bool>, now: Timestamp) -> bool {
+    fn on_outcome(&mut self, epoch: u32, ok: Option<bool>, others: Option<f64>, now: Timestamp) -> bool {
         if epoch != self.epoch {
             return false;
         }
@@ -121,18 +148,10 @@
                 }
             }
             (State::Closed, Some(ok)) => {
-                if now >= self.window_ends {
-                    // A server that failed much and stayed closed fails on: judged by the first few calls of
-                    // each new window alone, it would trip by chance at a rate that is under the threshold.
-                    let partly = f64::from(self.failures) >= COMMON_RATE * f64::from(self.calls);
-                    let recent = partly && now < self.window_ends + WINDOW;
-                    self.before = if recent { (self.calls, self.failures) } else { (0, 0) };
-                    (self.window_ends, self.calls, self.failures) = (now + WINDOW, 0, 0);
-                }
+                self.turn(now);
                 self.calls += 1;
                 self.failures += u32::from(!ok);
-                let (calls, failures) = (self.calls + self.before.0, self.failures + self.before.1);
-                return self.calls >= MIN_CALLS && f64::from(failures) >= TRIP_RATE * f64::from(calls);
+                return self.failing(others);
             }
             _ => {}
         }
@@ -146,6 +165,7 @@
     /// What its weight is cut by, the requests that it holds: the inverse of the weight, over `WEIGHT_SPAN`.
     load: f64,
     kind: usize,
+    zone: usize,
     hash: u64,
     breaker: Breaker,
     /// While it is cold: sends it got in the present slot of time, and which slot that is.
@@ -177,6 +197,34 @@
     }
 }
 
+/// How the servers of a zone fare as a whole, at this node and lately.
+#[derive(Debug)]
+struct Zone {
+    name: Option<Name>,
+    calls: u32,
+    failing: f64,
+    heard: Timestamp,
+    /// It fails as a whole, and when a trial there was last sent.
+    shut: bool,
+    tried: Timestamp,
+}
+
+impl Zone {
+    fn note(&mut self, ok: bool, now: Timestamp) {
+        if now >= self.heard + WINDOW {
+            (self.calls, self.failing) = (0, 0.0);
+        }
+        (self.calls, self.heard) = (self.calls.saturating_add(1), now);
+        let failed = if ok { 0.0 } else { 1.0 };
+        self.failing += (failed - self.failing) / f64::from(self.calls).min(ZONE_SPAN);
+    }
+
+    /// Its failure rate, where enough was heard of it lately to tell.
+    fn rate(&self, now: Timestamp) -> Option<f64> {
+        (self.calls >= MIN_CALLS && now < self.heard + WINDOW).then_some(self.failing)
+    }
+}
+
 #[derive(Debug)]
 struct Attempt {
     entry: ServerEntry,
@@ -224,6 +272,7 @@
     usual: Vec<f64>,
     usual_work: f64,
     kinds: Vec<Kind>,
+    zones: Vec<Zone>,
     /// The breaker of what servers fetch misses from, where they tell of misses.
     origin: Breaker,
     /// By key: whether the last answer to it here was held by its server. Never walked.
@@ -250,6 +299,7 @@
             usual,
             usual_work: 0.0,
             kinds: Vec::new(),
+            zones: Vec::new(),
             origin: Breaker::new(Timestamp::default()),
             kept: HashMap::new(),
             servers: Vec::new(),
@@ -325,6 +375,8 @@
                 Ok(i) => {
                     if entry.started != self.servers[i].entry.started {
                         self.servers[i].breaker.enter(State::Closed, now);
+                        let zone = &mut self.zones[self.servers[i].zone];
+                        (zone.shut, zone.calls) = (false, 0);
                     }
                     self.servers[i].entry = entry.clone();
                 }
@@ -336,6 +388,19 @@
                         self.kinds.push(Kind { name: entry.kind.clone(), pace: 0.0, answers: PACE_PRIOR });
                         self.kinds.len() - 1
                     });
+                    let zone = self.zones.iter().position(|zone| zone.name == entry.zone);
+                    let zone = zone.unwrap_or_else(|| {
+                        let (name, heard) = (entry.zone.clone(), now);
+                        self.zones.push(Zone {
+                            name,
+                            calls: 0,
+                            failing: 0.0,
+                            heard,
+                            shut: false,
+                            tried: heard,
+                        });
+                        self.zones.len() - 1
+                    });
                     let (entry, breaker, gap) = (entry.clone(), Breaker::new(now), Duration::MAX);
                     let (slot, used, in_flight, limit, sent) = (0, 0, 0, self.limit_start, now);
                     let limited = now;
@@ -344,6 +409,7 @@
                         entry,
                         load,
                         kind,
+                        zone,
                         hash,
                         breaker,
                         slot,
@@ -422,6 +488,58 @@
         calls < MIN_CALLS || f64::from(failed) < COMMON_RATE * f64::from(calls)
     }
 
+    /// Whether a zone fares otherwise than some other one: what ails it is then not common to all servers.
+    fn apart(&self, zone: usize, now: Timestamp) -> bool {
+        let others = self.zones.iter().enumerate().filter(|(other, _)| *other != zone);
+        others.filter_map(|(_, other)| other.rate(now)).any(|rate| rate < COMMON_RATE)
+    }
+
+    /// Counts an outcome for the server's breaker and opens it where it trips. Where its whole zone fails and
+    /// others don't, so do those of the servers there that this node has not heard enough of to know better.
+    fn judge(&mut self, i: usize, epoch: u32, ok: Option<bool>, now: Timestamp, actions: &mut Vec<Action>) {
+        let z = self.servers[i].zone;
+        if let Some(ok) = ok {
+            self.zones[z].note(ok, now);
+        }
+        let apart = self.apart(z, now);
+        let others = self.zones[z].rate(now).filter(|rate| apart || *rate < COMMON_RATE);
+        let tripped = self.servers[i].breaker.on_outcome(epoch, ok, others, now);
+        if tripped && (apart || self.is_outlier(i, now)) {
+            self.servers[i].breaker.enter(State::Open { until: now + COOLDOWN }, now);
+            actions.push(Action::Log(format!("breaker of {} tripped", self.servers[i].entry.id)));
+        }
+        let zone = &mut self.zones[z];
+        let told = |what: &str| {
+            let name = zone.name.as_ref().map_or("with no name", |name| name.as_str());
+            Action::Log(format!("zone {name} {what}"))
+        };
+        if ok == Some(true) && zone.shut {
+            actions.push(told("answers again"));
+            (zone.shut, zone.calls) = (false, 0);
+        } else if ok == Some(false) && apart && others.is_some_and(|rate| rate >= TRIP_RATE) {
+            if !zone.shut {
+                actions.push(told("fails as a whole"));
+            }
+            zone.shut = true;
+            let seed = self.seed ^ now.as_micros();
+            for mate in self.servers.iter_mut().filter(|mate| mate.zone == z) {
+                mate.breaker.turn(now);
+                if mate.breaker.state == State::Closed && mate.breaker.failing(others) {
+                    // Those that are shut together must not all be due for a trial together.
+                    let jittered = COOLDOWN.mul_f64(1.0 + unit(mix(seed ^ mate.hash)) / 2.0);
+                    mate.breaker.enter(State::Open { until: now + jittered }, now);
+                }
+            }
+        }
+    }
+
+    /// One trial tells of a whole zone: while it fails, not each of its servers is tried after its cooldown.
+    fn may_try(&self, i: usize, now: Timestamp) -> bool {
+        let zone = &self.zones[self.servers[i].zone];
+        let trial = self.servers[i].breaker.state != State::Closed;
+        !(trial && zone.shut) || now >= zone.tried + COOLDOWN / TRIALS
+    }
+
     fn in_use(&self, server: &Server) -> bool {
         server.entry.availability == Availability::Ready && !self.is_origin(&server.entry)
     }
@@ -448,9 +566,13 @@
             }
             self.kept.insert(key_of(&held.request), ok.is_some());
         }
-        if self.origin.on_outcome(attempt.epochs.1, fetched.then_some(ok.is_some()), now) {
-            let jittered = COOLDOWN.mul_f64(0.75 + unit(mix(self.seed ^ now.as_micros())) / 2.0);
-            self.origin.enter(State::Open { until: now + jittered }, now);
+        if self.origin.on_outcome(attempt.epochs.1, fetched.then_some(ok.is_some()), None, now) {
+            self.origin.enter(
+                State::Open {
+                    until: now + COOLDOWN.mul_f64(0.75 + unit(mix(self.seed ^ now.as_micros())) / 2.0),
+                },
+                now,
+            );
             actions.push(Action::Log("breaker of the origin tripped".into()));
         }
         let epoch = attempt.epochs.0;
@@ -498,10 +620,7 @@
             if server.in_flight == 0 && part < 1.0 && server.gap > self.settings.keepalive.mul_f64(part) {
                 actions.push(Action::Close { server: server.entry.id.clone() });
             }
-            if server.breaker.on_outcome(epoch, ok, now) && self.is_outlier(i, now) {
-                self.servers[i].breaker.enter(State::Open { until: now + COOLDOWN }, now);
-                actions.push(Action::Log(format!("breaker of {} tripped", outcome.server)));
-            }
+            self.judge(i, epoch, ok, now, actions);
         }
         held.done |= outcome.finished;
         self.decide(now, held, actions);
@@ -548,6 +667,9 @@
         (server.used, server.slot) = (if server.slot == slot { server.used + 1 } else { 1 }, slot);
         server.in_flight += 1;
         (server.sent, server.gap) = (now, now.since(server.sent));
+        if server.breaker.state != State::Closed {
+            self.zones[server.zone].tried = now;
+        }
         server.breaker.on_send(now);
         if !kept {
             self.origin.on_send(now);
@@ -601,6 +723,7 @@
             entry.availability == Availability::Ready
                 && self.may_send(now, held, entry)
                 && self.servers[*i].breaker.admits(now)
+                && self.may_try(*i, now)
                 && self.cold_room(*i, now)
                 && !held.attempts.iter().any(|a| a.entry.id == entry.id)
         };
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -113,3 +113,82 @@
     assert!((0.45..0.55).contains(&share(true)), "{}", share(true));
     assert!((0.2..0.3).contains(&share(false)), "{}", share(false));
 }
+
+/// Two zones of `each` servers, and a node that meets each of them less than once in a window.
+fn zoned(each: u8) -> Node {
+    let mut node = Node::new(Settings { nodes: 100, ..settings() }, 1);
+    let entry = |i: u8| {
+        let zone = if i < each { "a" } else { "b" };
+        ServerEntry { zone: Some(zone.into()), ..ServerEntry::new(&format!("{zone}{i}")) }
+    };
+    node.full_list((0..2 * each).map(entry).collect());
+    node
+}
+
+/// Sends `count` requests, 60 ms apart. Those to a server whose name begins with one of `silent` time out. Returns
+/// how many of them there were.
+fn meet(node: &mut Node, rng: &mut fastrand::Rng, count: u32, silent: &[char]) -> u32 {
+    let mut lost = 0;
+    for _ in 0..count {
+        let id = node.request(0, rng.u64(..), ms(400));
+        while let Some((_, server)) = node.out(&id) {
+            let dead = server.as_str().starts_with(silent);
+            lost += u32::from(dead);
+            node.pass(ms(if dead { 110 } else { 20 }));
+            if node.out(&id).is_some() {
+                node.answer(&id, if dead { Status::TimedOut } else { Status::Ok });
+            }
+        }
+        node.pass(ms(60));
+        node.requests.retain(|_, open| !open.ended);
+    }
+    lost
+}
+
+/// The danger: a node that meets none of a silent zone's servers twice within a window tries each of them, window
+/// after window, and a hundred nodes lose half of all requests there.
+#[test]
+fn a_silent_zone_is_found_with_few_requests() {
+    let (mut node, mut rng) = (zoned(40), fastrand::Rng::with_seed(4));
+    assert_eq!(meet(&mut node, &mut rng, 100, &[]), 0);
+    let lost = meet(&mut node, &mut rng, 200, &['b']);
+    assert!(lost < 25, "{lost} of 200 went to the silent zone");
+    // Its servers are tried now and then, and taken up again when they answer.
+    let tried = meet(&mut node, &mut rng, 400, &['b']);
+    assert!((5..30).contains(&tried), "{tried} of 400 tried the silent zone");
+    meet(&mut node, &mut rng, 200, &[]);
+    node.trace.clear();
+    meet(&mut node, &mut rng, 100, &[]);
+    let to =
+        |action: &Action| matches!(action, Action::Send { server, .. } if server.as_str().starts_with('b'));
+    let back = node.trace.iter().filter(|action| to(action)).count();
+    assert!(back > 25, "{back} of 100 went to the zone that is back");
+}
+
+/// What fails everywhere has a common cause: no zone is shut for it.
+#[test]
+fn zones_that_fail_alike_are_not_shut() {
+    let (mut node, mut rng) = (zoned(40), fastrand::Rng::with_seed(4));
+    meet(&mut node, &mut rng, 100, &[]);
+    meet(&mut node, &mut rng, 100, &['a', 'b']);
+    let shut = |action: &Action| matches!(action, Action::Log(text) if text.contains("as a whole"));
+    assert!(!node.trace.iter().any(shut));
+}
+
+/// A server that starts anew is no longer the one that was silent.
+#[test]
+fn servers_of_a_silent_zone_that_start_anew_are_used_at_once() {
+    let (mut node, mut rng) = (zoned(10), fastrand::Rng::with_seed(4));
+    meet(&mut node, &mut rng, 50, &[]);
+    meet(&mut node, &mut rng, 50, &['b']);
+    let started = Some(Timestamp::from_micros(node.now.as_micros() - 60_000_000));
+    let fresh: Vec<_> =
+        node.list.values().filter(|entry| entry.id.as_str().starts_with('b')).cloned().collect();
+    node.changes(fresh.into_iter().map(|entry| ServerEntry { started, ..entry }).collect());
+    node.trace.clear();
+    meet(&mut node, &mut rng, 50, &[]);
+    let to =
+        |action: &Action| matches!(action, Action::Send { server, .. } if server.as_str().starts_with('b'));
+    let back = node.trace.iter().filter(|action| to(action)).count();
+    assert!(back > 12, "{back} of 50 went to the servers that are back");
+}
