Count an attempt as failed once it is overdue, not when its client gives up

At fault: `outcome` in src/balance.rs learns of silence and of jams by time-outs, which come when clients give up: at 220 ms for aims of 150 ms, at 740 ms for aims of 340 ms. By then all that came since is lost as well. Ruled out: too few servers for the load. An attempt now counts for the breaker, the limit and the admission as soon as an answer would be late; the breaker takes it back if the answer comes. A server whose last report told of room is not taken for jammed.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -133,6 +133,13 @@
         failures >= TRIP_RATE * f64::from(calls + lacking)
     }
 
+    /// What was counted as a failure has been answered after all.
+    fn forgive(&mut self, epoch: u32) {
+        if epoch == self.epoch {
+            self.failures = self.failures.saturating_sub(1);
+        }
+    }
+
     /// `ok` is `None` where it tells nothing: a trial gives its place back. Returns whether it should trip.
     fn on_outcome(&mut self, epoch: u32, ok: Option<bool>, others: Option<f64>, now: Timestamp) -> bool {
         if epoch != self.epoch {
@@ -174,6 +181,8 @@
     limit: f64,
     /// When an answer last changed it.
     limited: Timestamp,
+    /// Its last report told of room: what takes long there is the work itself.
+    calm: bool,
     /// When it was last sent to, and how long after the send before.
     sent: Timestamp,
     gap: Duration,
@@ -231,6 +240,9 @@
     /// Of the server's breaker and of the origin's, when it was sent.
     epochs: (u32, u32),
     status: Option<Status>,
+    /// When no answer to it is a failure, and whether that was counted.
+    overdue: Timestamp,
+    counted: bool,
 }
 
 #[derive(Debug)]
@@ -344,7 +356,8 @@
             actions.push(Action::Follow);
         }
         while self.due.first().is_some_and(|(at, _)| *at <= now) {
-            if let Some(held) = self.due.pop_first().and_then(|(_, id)| self.held.remove(&id)) {
+            if let Some(mut held) = self.due.pop_first().and_then(|(_, id)| self.held.remove(&id)) {
+                self.miss_answers(now, &mut held, actions);
                 self.decide(now, held, actions);
             }
         }
@@ -406,7 +419,7 @@
                         self.zones.len() - 1
                     });
                     let (entry, breaker, gap) = (entry.clone(), Breaker::new(now), Duration::MAX);
-                    let (in_flight, limit, sent) = (0, self.limit_start, now);
+                    let (in_flight, limit, calm, sent) = (0, self.limit_start, false, now);
                     // Not a whole send: many nodes would use it at once.
                     let room = unit(mix(self.seed ^ hash));
                     let limited = now;
@@ -422,6 +435,7 @@
                         in_flight,
                         limit,
                         limited,
+                        calm,
                         sent,
                         gap,
                     };
@@ -585,12 +599,11 @@
             );
             actions.push(Action::Log("breaker of the origin tripped".into()));
         }
-        let epoch = attempt.epochs.0;
-        // Late past a part of its aim (a heavy one takes longer), unless the server has cores to spare.
+        // What was overdue has been counted already.
+        let (epoch, known) = (attempt.epochs.0, attempt.counted);
+        let in_time = outcome.took <= self.due_within(&held.request);
         let work = held.request.expected_work.map_or(0.0, |work| work.as_secs_f64());
-        let share = (AIM_SHARE * work / self.usual_work.max(1e-9)).clamp(AIM_SHARE, 1.0);
         self.usual_work += (work - self.usual_work) / 100.0;
-        let in_time = outcome.took <= self.class(&held.request).aim.mul_f64(share);
         let spare = outcome.load.busy.is_some_and(|busy| busy < BUSY);
         // Where nobody waits it is most often the work itself that takes long. One of many nodes cannot tell:
         // it meets the server so seldom that the report is older than the bursts of the others.
@@ -610,6 +623,7 @@
             }
             let server = &mut self.servers[i];
             (server.limit, server.limited) = (server.limit(self.limit_start, now), now);
+            server.calm = spare || unqueued;
             let (answered, failed) = (ok == Some(true), ok == Some(false));
             let jammed = failed && matches!(outcome.status, Status::QueueFull | Status::TimedOut);
             if answered && (in_time || spare || unqueued) {
@@ -619,7 +633,7 @@
                 server.limit += LIMIT_UP;
             } else if answered && !in_time && !spare && unqueued {
                 server.limit = (server.limit - LIMIT_EASE).max(LIMIT_LEAST);
-            } else if answered && !in_time && !spare || jammed {
+            } else if !known && (answered && !in_time && !spare || jammed) {
                 self.bad += 1.0;
                 server.limit = (server.limit - LIMIT_DOWN).max(LIMIT_LEAST);
             }
@@ -630,12 +644,44 @@
             if server.in_flight == 0 && part < 1.0 && server.gap > self.settings.keepalive.mul_f64(part) {
                 actions.push(Action::Close { server: server.entry.id.clone() });
             }
-            self.judge(i, epoch, ok, now, actions);
+            if known && ok == Some(true) {
+                self.servers[i].breaker.forgive(epoch);
+                let zone = self.servers[i].zone;
+                self.zones[zone].note(true, now);
+            } else if !known {
+                self.judge(i, epoch, ok, now, actions);
+            }
         }
         held.done |= outcome.finished;
         self.decide(now, held, actions);
     }
 
+    /// An answer to it that comes later is late: past a part of its aim, or for a heavy one past more of it.
+    fn due_within(&self, request: &Request) -> Duration {
+        let work = request.expected_work.map_or(0.0, |work| work.as_secs_f64());
+        let share = (AIM_SHARE * work / self.usual_work.max(1e-9)).clamp(AIM_SHARE, 1.0);
+        self.class(request).aim.mul_f64(share)
+    }
+
+    /// Counts the attempts that are overdue as failures: the time-out that tells the same comes when the
+    /// client gives up, much later, and meanwhile a silent zone or a jam takes all that comes.
+    fn miss_answers(&mut self, now: Timestamp, held: &mut Held, actions: &mut Vec<Action>) {
+        let out = held.attempts.iter_mut().filter(|a| a.status.is_none() && !a.counted && a.overdue <= now);
+        for attempt in out {
+            attempt.counted = true;
+            let place = self.servers.binary_search_by(|server| server.entry.id.cmp(&attempt.entry.id));
+            if let Ok(i) = place {
+                let server = &mut self.servers[i];
+                if !server.calm {
+                    self.bad += 1.0;
+                    server.limit = (server.limit(self.limit_start, now) - LIMIT_DOWN).max(LIMIT_LEAST);
+                    server.limited = now;
+                }
+                self.judge(i, attempt.epochs.0, Some(false), now, actions);
+            }
+        }
+    }
+
     fn decide(&mut self, now: Timestamp, mut held: Held, actions: &mut Vec<Action>) {
         if held.outstanding() > 0 {
             return self.keep(held);
@@ -685,9 +731,13 @@
         }
         let skew = u32::from(kept && self.origin.state != State::Closed);
         let epochs = (server.breaker.epoch, self.origin.epoch.wrapping_sub(skew));
-        held.attempts.push(Attempt { entry: server.entry.clone(), sent: now, epochs, status: None });
+        let (entry, overdue) = (server.entry.clone(), now + self.due_within(&held.request));
+        if overdue < held.request.valid_until {
+            self.due.insert((overdue, held.request.id.clone()));
+        }
+        held.attempts.push(Attempt { entry, sent: now, epochs, status: None, overdue, counted: false });
         let timeout = held.request.valid_until.since(now);
-        let (id, server) = (held.request.id.clone(), server.entry.id.clone());
+        let (id, server) = (held.request.id.clone(), self.servers[i].entry.id.clone());
         actions.push(Action::Send { id, server, timeout });
         self.keep(held);
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -198,6 +198,26 @@
     assert!(back > 25, "{back} of 100 went to the zone that is back");
 }
 
+/// The danger: patient clients' time-outs come so late that a silent zone takes seconds' worth of requests unnoticed.
+#[test]
+fn a_silent_zone_is_found_before_clients_give_up() {
+    let (mut node, mut rng) = (zoned(40), fastrand::Rng::with_seed(4));
+    meet(&mut node, &mut rng, 100, &[]);
+    let mut lost = Vec::new();
+    for step in 0..120 {
+        let id = node.request(0, rng.u64(..), ms(20_000));
+        let server = node.out(&id).map(|(_, server)| server);
+        node.pass(ms(20));
+        match server {
+            Some(server) if server.as_str().starts_with('b') => lost.push(step),
+            Some(_) => drop(node.answer(&id, Status::Ok)),
+            None => {}
+        }
+        node.pass(ms(60));
+    }
+    assert!(lost.len() < 20, "{} of 120 went to the silent zone", lost.len());
+}
+
 /// What fails everywhere has a common cause: no zone is shut for it.
 #[test]
 fn zones_that_fail_alike_are_not_shut() {
