Let breakers wait for the time-out; only zones and limits count what is overdue

After a window turns, the first three calls are overdue together at every server of a jam, and trip it before their answers come. What is overdue now counts for the zone, the limit and the admission, and breakers count outcomes only; the origin of an aside deployment is no part of a zone.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -133,13 +133,6 @@
         failures >= TRIP_RATE * f64::from(calls + lacking)
     }
 
-    /// What was counted as a failure has been answered after all.
-    fn forgive(&mut self, epoch: u32) {
-        if epoch == self.epoch {
-            self.failures = self.failures.saturating_sub(1);
-        }
-    }
-
     /// `ok` is `None` where it tells nothing: a trial gives its place back. Returns whether it should trip.
     fn on_outcome(&mut self, epoch: u32, ok: Option<bool>, others: Option<f64>, now: Timestamp) -> bool {
         if epoch != self.epoch {
@@ -405,9 +398,11 @@
                         self.kinds.push(Kind { name: entry.kind.clone(), pace: 0.0, answers: PACE_PRIOR });
                         self.kinds.len() - 1
                     });
-                    let zone = self.zones.iter().position(|zone| zone.name == entry.zone);
+                    // The origin fares otherwise than the cache servers beside it.
+                    let name = entry.zone.clone().filter(|_| !self.is_origin(entry));
+                    let zone = self.zones.iter().position(|zone| zone.name == name);
                     let zone = zone.unwrap_or_else(|| {
-                        let (name, heard) = (entry.zone.clone(), now);
+                        let heard = now;
                         self.zones.push(Zone {
                             name,
                             calls: 0,
@@ -518,13 +513,9 @@
         others.filter_map(|(_, other)| other.rate(now)).any(|rate| rate < COMMON_RATE)
     }
 
-    /// Counts an outcome for the server's breaker and opens it where it trips. Where its whole zone fails and
-    /// others don't, so do those of the servers there that this node has not heard enough of to know better.
+    /// Counts an outcome for the server's breaker and opens it where it trips.
     fn judge(&mut self, i: usize, epoch: u32, ok: Option<bool>, now: Timestamp, actions: &mut Vec<Action>) {
         let z = self.servers[i].zone;
-        if let Some(ok) = ok {
-            self.zones[z].note(ok, now);
-        }
         let apart = self.apart(z, now);
         let others = self.zones[z].rate(now).filter(|rate| apart || *rate < COMMON_RATE);
         let tripped = self.servers[i].breaker.on_outcome(epoch, ok, others, now);
@@ -532,15 +523,23 @@
             self.servers[i].breaker.enter(State::Open { until: now + COOLDOWN }, now);
             actions.push(Action::Log(format!("breaker of {} tripped", self.servers[i].entry.id)));
         }
+    }
+
+    /// Counts how an attempt fared for its zone. Where the whole zone fails and others don't, so do those of
+    /// its servers that this node has not heard enough of to know better.
+    fn judge_zone(&mut self, z: usize, ok: bool, now: Timestamp, actions: &mut Vec<Action>) {
+        self.zones[z].note(ok, now);
+        let others = self.zones[z].rate(now);
+        let apart = self.apart(z, now);
         let zone = &mut self.zones[z];
         let told = |what: &str| {
             let name = zone.name.as_ref().map_or("with no name", |name| name.as_str());
             Action::Log(format!("zone {name} {what}"))
         };
-        if ok == Some(true) && zone.shut {
+        if ok && zone.shut {
             actions.push(told("answers again"));
             (zone.shut, zone.calls) = (false, 0);
-        } else if ok == Some(false) && apart && others.is_some_and(|rate| rate >= TRIP_RATE) {
+        } else if !ok && apart && others.is_some_and(|rate| rate >= TRIP_RATE) {
             if !zone.shut {
                 actions.push(told("fails as a whole"));
             }
@@ -644,13 +643,10 @@
             if server.in_flight == 0 && part < 1.0 && server.gap > self.settings.keepalive.mul_f64(part) {
                 actions.push(Action::Close { server: server.entry.id.clone() });
             }
-            if known && ok == Some(true) {
-                self.servers[i].breaker.forgive(epoch);
-                let zone = self.servers[i].zone;
-                self.zones[zone].note(true, now);
-            } else if !known {
-                self.judge(i, epoch, ok, now, actions);
+            if let Some(ok) = ok.filter(|ok| *ok || !known) {
+                self.judge_zone(self.servers[i].zone, ok, now, actions);
             }
+            self.judge(i, epoch, ok, now, actions);
         }
         held.done |= outcome.finished;
         self.decide(now, held, actions);
@@ -663,8 +659,9 @@
         self.class(request).aim.mul_f64(share)
     }
 
-    /// Counts the attempts that are overdue as failures: the time-out that tells the same comes when the
-    /// client gives up, much later, and meanwhile a silent zone or a jam takes all that comes.
+    /// Counts the attempts that are overdue against their zones and servers' limits. The time-out that tells
+    /// the same comes when the client gives up, and meanwhile a silent zone or a jam takes all that comes.
+    /// Breakers wait for it: in a jam, the first few calls of a window are overdue together at every server.
     fn miss_answers(&mut self, now: Timestamp, held: &mut Held, actions: &mut Vec<Action>) {
         let out = held.attempts.iter_mut().filter(|a| a.status.is_none() && !a.counted && a.overdue <= now);
         for attempt in out {
@@ -677,7 +674,7 @@
                     server.limit = (server.limit(self.limit_start, now) - LIMIT_DOWN).max(LIMIT_LEAST);
                     server.limited = now;
                 }
-                self.judge(i, attempt.epochs.0, Some(false), now, actions);
+                self.judge_zone(self.servers[i].zone, false, now, actions);
             }
         }
     }
