Read a list past an entry that cannot be read

Seen by reading: `call` in src/net/discovery.rs parses the list as one. An entry with an address that is none fails the call; it is asked for again and fails again, and the node hears of no drain that stands in the same list. Ruled out: that a later list mends it; a whole list carries the entry for as long as the server is listed.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -8,7 +8,8 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use pinhead::{Availability, ServerEntry, Timestamp};
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,12 +40,17 @@
 pub struct Listing {
     pub seq: u64,
     pub whole: bool,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "read_hosts")]
     pub hosts: Vec<Host>,
 }
 
+/// One entry that cannot be read must not keep the node from what the others say: a drain that it never hears of.
+fn read_hosts<'de, D: Deserializer<'de>>(list: D) -> Result<Vec<Host>, D::Error> {
+    Ok(Vec::<Value>::deserialize(list)?.into_iter().filter_map(Host::read).collect())
+}
+
 /// One cache server in it.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Default, Deserialize)]
 pub struct Host {
     host: String,
     dial: Option<SocketAddr>,
@@ -57,6 +63,19 @@
 }
 
 impl Host {
+    /// Of an entry that cannot be read only the name counts: that server is to get nothing new.
+    fn read(entry: Value) -> Option<Self> {
+        let name = entry.get("host").and_then(Value::as_str).map(str::to_owned);
+        match serde_json::from_value(entry) {
+            Ok(host) => Some(host),
+            Err(error) => {
+                let server = name.as_deref().unwrap_or("no name");
+                eprintln!("discovery: the entry of {server} cannot be read, so it gets nothing new: {error}");
+                Some(Self { host: name?, health: "draining".to_owned(), ..Self::default() })
+            }
+        }
+    }
+
     /// Where it listens; one that is gone may have no address.
     pub fn dial(&self) -> Option<SocketAddr> {
         self.dial
--- a/tests/node_lifecycle.rs
+++ b/tests/node_lifecycle.rs
@@ -127,3 +127,19 @@
         assert!(error.starts_with("pinhead: "), "{error}");
     }
 }
+
+// Guards against one broken entry that keeps all else that a list says from the node, drains included.
+#[test]
+fn an_entry_that_cannot_be_read_leaves_the_others_in_force() {
+    let (old, new) = (CacheServer::serving("old"), CacheServer::serving("new"));
+    let discovery = Discovery::start(&[old.entry("s-1", "ready")]);
+    let node = Node::ready(&config(discovery.address));
+    discovery.wait_until_told(1);
+    let mut broken = old.entry("s-1", "ready");
+    broken["dial"] = "nowhere".into();
+    discovery.tell(false, &[broken, 7.into(), new.entry("s-2", "ready")]);
+    discovery.wait_until_told(2);
+    for id in 1..=8 {
+        assert_eq!(node.read("read", id).body, b"new", "the server that cannot be read gets nothing new");
+    }
+}
