--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -5,12 +5,13 @@
 use crate::net::upstream::{Ended, Message, Upstream};
 use bytes::Bytes;
 use pinhead::{
-    Action, Availability, Balancer, ClassId, Event, Outcome, Request, RequestId, ServerEntry, ServerId,
+    Action, Availability, Balancer, ClassId, Event, Name, Outcome, Request, RequestId, ServerEntry, ServerId,
     ServerList, Status, TenantId, Timestamp,
 };
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::fmt::Write;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -33,6 +34,9 @@
     /// How long the client waits.
     pub patience: Duration,
     pub class: ClassId,
+    /// The class's name, and within which time its answers are worth most.
+    pub kind: Name,
+    pub aim: Duration,
     pub tenant: Option<TenantId>,
     pub key: Option<u64>,
     pub expected_work: Option<Duration>,
@@ -90,6 +94,9 @@
 
 struct Open {
     message: Rc<Message>,
+    kind: Name,
+    at: Instant,
+    aim: Duration,
     /// `None` once the final answer is given.
     answer: Option<oneshot::Sender<Answer>>,
     until: Instant,
@@ -99,6 +106,8 @@
 struct Sent {
     server: ServerId,
     at: Instant,
+    /// How it ended, and how long after it was sent.
+    end: Option<(Status, Duration)>,
     /// `None` once its end is known.
     task: Option<AbortHandle>,
 }
@@ -175,6 +184,7 @@
                 let id = request_id(ticket);
                 if let Some(open) = self.open.get_mut(&id).filter(|open| open.answer.is_some()) {
                     open.answer = None;
+                    eprintln!("{}", open.story("left"));
                     self.due.push_back(Event::Abandoned(id.clone()));
                     self.tidy(&id);
                 }
@@ -212,8 +222,15 @@
     fn request(&mut self, taken: Taken) {
         let id = request_id(taken.ticket);
         let until = taken.at + taken.patience.saturating_sub(MARGIN);
-        let open =
-            Open { message: Rc::new(taken.message), answer: Some(taken.answer), until, attempts: Vec::new() };
+        let open = Open {
+            message: Rc::new(taken.message),
+            kind: taken.kind,
+            at: taken.at,
+            aim: taken.aim,
+            answer: Some(taken.answer),
+            until,
+            attempts: Vec::new(),
+        };
         self.open.insert(id.clone(), open);
         self.timers.push(Reverse((until + GUARD, Timer::Guard(id.clone()))));
         self.due.push_back(Event::Request(Request {
@@ -236,6 +253,7 @@
         };
         sent.task = None;
         let (server, took) = (sent.server.clone(), sent.at.elapsed());
+        sent.end = Some((ended.status, took));
         if let Some(body) = ended.body {
             reply(open, Answer::Served(body));
         }
@@ -332,7 +350,7 @@
             // The driver only goes when the node does.
             let _ = events.send(Input::Ended { id, attempt, ended });
         });
-        open.attempts.push(Sent { server, at, task: Some(task.abort_handle()) });
+        open.attempts.push(Sent { server, at, task: Some(task.abort_handle()), end: None });
     }
 
     fn finish(&mut self, id: &RequestId, answer: Answer) {
@@ -343,8 +361,36 @@
     }
 }
 
+impl Open {
+    /// One line that tells what became of the request: with the log of each node on its way, and no trace of the
+    /// sockets, it can be followed by its id.
+    fn story(&self, end: &str) -> String {
+        let Message { id, method, target, .. } = &*self.message;
+        let (id, after) = (id.to_str().unwrap_or("?"), self.at.elapsed().as_millis());
+        let mut story = format!("request {id} {end} after {after} ms: {} {method} {target}", self.kind);
+        for sent in &self.attempts {
+            let server = &sent.server;
+            // Writing to a string does not fail.
+            let _ = match sent.end {
+                Some((status, took)) => write!(story, ", {server} {status:?} in {} ms", took.as_millis()),
+                None => write!(story, ", {server} out for {} ms", sent.at.elapsed().as_millis()),
+            };
+        }
+        story
+    }
+}
+
 fn reply(open: &mut Open, answer: Answer) {
     if let Some(sender) = open.answer.take() {
+        let end = match answer {
+            Answer::Served(_) if open.at.elapsed() <= open.aim => None,
+            Answer::Served(_) => Some("served late"),
+            Answer::Refused { .. } => Some("refused"),
+            Answer::Failed => Some("failed"),
+        };
+        if let Some(end) = end {
+            eprintln!("{}", open.story(end));
+        }
         // A client that has gone meanwhile is owed nothing.
         let _ = sender.send(answer);
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -50,7 +50,8 @@
 
 /// What all connections of clients share.
 pub struct Front {
-    pub classes: Vec<Name>,
+    /// The classes' names and aims.
+    pub classes: Vec<(Name, Duration)>,
     pub tenants: Vec<Name>,
     pub ready: Rc<Cell<bool>>,
     pub stage: watch::Receiver<Stage>,
@@ -139,7 +140,7 @@
         events: UnboundedSender<Input>,
     ) -> Self {
         Self {
-            classes: settings.classes.iter().map(|class| class.name.clone()).collect(),
+            classes: settings.classes.iter().map(|class| (class.name.clone(), class.aim)).collect(),
             tenants: settings.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
             ready,
             stage,
@@ -296,7 +297,8 @@
 fn read_head(front: &Front, headers: &HeaderMap) -> Result<Asked, &'static str> {
     let id = headers.get(REQ_ID).filter(|id| !id.is_empty()).ok_or("no Req-Id")?;
     let class = text(headers, &REQ_KIND)?.ok_or("no Req-Kind")?;
-    let class = front.classes.iter().position(|name| name.as_str() == class).ok_or("unknown Req-Kind")?;
+    let class =
+        front.classes.iter().position(|(name, _)| name.as_str() == class).ok_or("unknown Req-Kind")?;
     let tenant = match text(headers, &REQ_OWNER)? {
         // Where there are no tenants, whatever stands there means nothing.
         _ if front.tenants.is_empty() => None,
@@ -353,11 +355,14 @@
 ) -> Reply {
     let ticket = front.tickets.replace(front.tickets.get() + 1);
     let (sender, receiver) = oneshot::channel();
+    let (kind, aim) = front.classes[asked.class.0].clone();
     let taken = Taken {
         ticket,
         at,
         patience: asked.patience,
         class: asked.class,
+        kind,
+        aim,
         tenant: asked.tenant,
         key: Some(key),
         expected_work: asked.expected_work,
--- a/tests/node_clients.rs
+++ b/tests/node_clients.rs
@@ -206,3 +206,28 @@
     }
     assert_eq!(one.count() + two.count(), 11);
 }
+
+// Guards against a log that does not tell which requests ended badly, nor where they had been.
+#[test]
+fn the_log_tells_what_became_of_a_request_that_failed() {
+    let broken = CacheServer::start(|_| Does::Answer(answer("500 Internal Server Error", "", "")));
+    let sound = CacheServer::serving("value");
+    let discovery = Discovery::start(&[broken.entry("s-1", "ready")]);
+    let node = Node::ready(&config(discovery.address));
+    assert_ne!(node.read("once", 0xabc).status(), 200);
+    let line = |id: &str| {
+        let log = node.log.lock().unwrap();
+        log.lines().find(|line| line.contains(&format!("request {id} "))).map(str::to_owned)
+    };
+    wait_for("the line of the request", || line("abc").is_some());
+    let told = line("abc").unwrap();
+    for part in ["failed", "once", "/api/0000000000000abc", "s-1 Failed"] {
+        assert!(told.contains(part), "{told}");
+    }
+    // Of one that was served in time there is nothing to tell.
+    discovery.tell(true, &[sound.entry("s-2", "ready")]);
+    discovery.wait_until_told(2);
+    assert_eq!(node.read("once", 0xdef).status(), 200);
+    assert_ne!(node.read("unknown", 0x123).status(), 200);
+    assert_eq!(line("def"), None);
+}
--- a/tests/node_common/mod.rs
+++ b/tests/node_common/mod.rs
@@ -216,6 +216,8 @@
 pub struct Node {
     pub address: SocketAddr,
     pub child: Child,
+    /// What it has written so far, its first line left out.
+    pub log: Arc<Mutex<String>>,
     config: std::path::PathBuf,
 }
 
@@ -267,8 +269,14 @@
         let address = line.trim_end().rsplit(' ').next().unwrap().parse();
         let address = address.unwrap_or_else(|_| panic!("the node's first line: {line}"));
         // The rest of its log must not fill the pipe.
-        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Self { address, child, config: path }
+        let written: Arc<Mutex<String>> = Arc::default();
+        let kept = written.clone();
+        thread::spawn(move || {
+            for line in log.lines().map_while(Result::ok) {
+                kept.lock().unwrap().push_str(&(line + "\n"));
+            }
+        });
+        Self { address, child, log: written, config: path }
     }
 
     /// Starts a node and waits until it is ready for clients.
