Spread a popular key over several servers by the share of load that it makes

Ruled out: bad servers (they answered their other keys), processor time (a node used 0.01 to 0.03 s a second of 0.18), single nodes (at most 31 bad requests at one of 273).

At fault: pick() took a key's first server always. At 12 servers the top key makes a tenth of a server's share, at 180 more than a whole one.

A key is now served by 1 + round(2 x its part of a server's mean share) servers of its order; each request begins at one of them.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -39,6 +39,10 @@
 /// Answers over which the pace of a kind of server is averaged, and how many at par it starts with.
 const PACE_SPAN: f64 = 200.0;
 const PACE_PRIOR: f64 = 10.0;
+/// Requests over which a key's share of them is averaged, and how many servers serve it for each server's mean share
+/// that it makes.
+const POPULAR_SPAN: f64 = 1024.0;
+const COPIES: f64 = 2.0;
 /// Servers of a key's order that may take it; for want of room at the first, up to this share of their bound.
 const SPREAD: usize = 3;
 const SPILL: f64 = 0.5;
@@ -238,6 +242,17 @@
     counted: bool,
 }
 
+/// What this node knows of a key.
+#[derive(Debug, Default)]
+struct Key {
+    /// Its last answer here was held by its server.
+    kept: bool,
+    /// Requests for it before the present one, over about the last `POPULAR_SPAN` of all, and the number of this
+    /// node's request when that was counted.
+    before: f64,
+    drawn: u64,
+}
+
 #[derive(Debug)]
 struct Held {
     request: Request,
@@ -279,8 +294,8 @@
     zones: Vec<Zone>,
     /// The breaker of what servers fetch misses from, where they tell of misses.
     origin: Breaker,
-    /// By key: whether the last answer to it here was held by its server. Never walked.
-    kept: HashMap<u64, bool>,
+    /// Never walked but to forget: its order differs from run to run.
+    keys: HashMap<u64, Key>,
     /// Answers that show no queue, and what showed one or was refused for it, over about `RATE_SPAN`.
     good: f64,
     bad: f64,
@@ -307,7 +322,7 @@
             kinds: Vec::new(),
             zones: Vec::new(),
             origin: Breaker::new(Timestamp::default()),
-            kept: HashMap::new(),
+            keys: HashMap::new(),
             servers: Vec::new(),
             held: HashMap::new(),
             due: BTreeSet::new(),
@@ -336,6 +351,7 @@
             Event::Request(request) => {
                 self.drawn += 1;
                 let luck = unit(mix(self.seed ^ self.drawn));
+                self.meet(key_of(&request));
                 let held = Held { request, attempts: Vec::new(), luck, arrived: now, done: false };
                 self.decide(now, held, actions);
             }
@@ -584,10 +600,9 @@
             _ => Some(false),
         };
         if fetched || outcome.note == Some(Note::Hit) {
-            if self.kept.len() > KEYS_KNOWN {
-                self.kept.clear();
+            if let Some(key) = self.keys.get_mut(&key_of(&held.request)) {
+                key.kept = ok.is_some();
             }
-            self.kept.insert(key_of(&held.request), ok.is_some());
         }
         if self.origin.on_outcome(attempt.epochs.1, fetched.then_some(ok.is_some()), None, now) {
             self.origin.enter(
@@ -695,7 +710,7 @@
         let excess = held.attempts.is_empty() && held.luck * (good + self.bad) > good * ADMIT;
         self.bad += if excess { REFUSED } else { 0.0 };
         // An origin with a queue longer than anyone waits serves nobody until likely misses leave it alone.
-        let kept = !held.request.write && self.kept.get(&key_of(&held.request)) == Some(&true);
+        let kept = !held.request.write && self.keys.get(&key_of(&held.request)).is_some_and(|key| key.kept);
         if excess || barred || now >= held.request.valid_until || !(kept || self.origin.admits(now)) {
             return self.end(now, held, actions);
         }
@@ -797,15 +812,41 @@
         let mut order = self.order(key, now).peekable();
         let own = *order.peek()?;
         // For want of room to the next few and no further: over a slow fleet, hits would turn to misses.
-        let mut open = order.filter(usable).take(SPREAD).peekable();
-        if open.peek().is_some() {
-            let share = |n| if n == 0 { 1.0 } else { SPILL };
-            return open.enumerate().find(|&(n, i)| room(i, share(n))).map(|(_, i)| i);
+        let copies = self.copies(key);
+        let mut open: Vec<_> = order.filter(usable).take(SPREAD.max(copies)).collect();
+        if !open.is_empty() {
+            // Those that serve the key come first, each request beginning at one of them.
+            let copies = copies.min(open.len());
+            open[..copies].rotate_left((unit(mix(held.luck.to_bits())) * copies as f64) as usize);
+            let share = |n| if n < copies { 1.0 } else { SPILL };
+            return open.into_iter().enumerate().find(|&(n, i)| room(i, share(n))).map(|(_, i)| i);
         }
         // Every server is blocked: the key's own server then, rather than none.
         (self.takes_more(own, now) && held.attempts.is_empty() && room(own, 1.0)).then_some(own)
     }
 
+    /// Counts a request for a key. Keys that were not asked for lately give way when too many are known.
+    fn meet(&mut self, key: u64) {
+        let drawn = self.drawn;
+        if self.keys.len() >= KEYS_KNOWN {
+            self.keys.retain(|_, known| drawn - known.drawn < KEYS_KNOWN as u64 / 2);
+        }
+        let known = self.keys.entry(key).or_insert(Key { drawn, before: -1.0, kept: false });
+        let faded = (-((drawn - known.drawn) as f64) / POPULAR_SPAN).exp();
+        (known.before, known.drawn) = ((known.before + 1.0) * faded, drawn);
+    }
+
+    /// How many servers of its order serve a key: one does unless its requests make much of a server's share. The
+    /// more servers there are the less of all traffic does it take for one key to jam the one that it hashes to.
+    fn copies(&self, key: u64) -> usize {
+        let (before, servers) =
+            (self.keys.get(&key).map_or(0.0, |known| known.before), self.servers.len() as f64);
+        let met = POPULAR_SPAN * (1.0 - (-(self.drawn as f64) / POPULAR_SPAN).exp());
+        // The first few requests tell little: as if there had been one more for each server, of other keys.
+        let share = before / (met + servers).max(1.0);
+        1 + (COPIES * servers * share).round() as usize
+    }
+
     /// The ready cache servers in the key's own order, by weighted rendezvous: a leaver moves only its keys.
     fn order(&self, key: u64, now: Timestamp) -> impl Iterator<Item = usize> + use<> {
         let rank = |(i, server): (usize, &Server)| {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -245,3 +245,27 @@
     let back = node.trace.iter().filter(|action| to(action)).count();
     assert!(back > 12, "{back} of 50 went to the servers that are back");
 }
+
+/// The danger: with many servers one popular key is worth several servers' share of all requests, and the one that it
+/// hashes to jams. With few of them the same key is a small part of what its server does, and stays there.
+#[test]
+fn a_popular_key_is_spread_where_it_makes_more_than_a_servers_share() {
+    let at_one = |servers: u32| {
+        let mut node = Node::new(Settings { nodes: 100, ..settings() }, 1);
+        node.full_list((0..servers).map(|i| ServerEntry::new(&format!("s{i}"))).collect());
+        let mut rng = fastrand::Rng::with_seed(8);
+        let mut met = std::collections::BTreeMap::new();
+        for step in 0..2_000 {
+            let popular = rng.f64() < 0.02;
+            let server = node.call(if popular { 7 } else { rng.u64(..) }, Status::Ok).expect("sent");
+            if popular && step > 500 {
+                *met.entry(server).or_insert(0) += 1;
+            }
+            node.pass(ms(20));
+            node.requests.clear();
+        }
+        f64::from(*met.values().max().expect("met")) / f64::from(met.values().sum::<i32>())
+    };
+    assert!(at_one(100) < 0.4, "{} of its requests went to one of 100 servers", at_one(100));
+    assert!(at_one(4) > 0.9, "{} of its requests went to one of 4 servers", at_one(4));
+}
