--- a/src/balance.rs
+++ b/src/balance.rs
@@ -39,8 +39,8 @@
 /// Answers over which the pace of a kind of server is averaged, and how many at par it starts with.
 const PACE_SPAN: f64 = 200.0;
 const PACE_PRIOR: f64 = 10.0;
-/// Requests over which a key's share of them is averaged, and how many servers serve it for each server's mean
-/// share that it makes.
+/// Requests over which a key's share of them is averaged, and how many servers serve it for each server's
+/// mean share that it makes.
 const POPULAR_SPAN: f64 = 1024.0;
 const COPIES: f64 = 2.0;
 /// Servers of a key's order that may take it; for want of room at the first, up to this share of their bound.
@@ -837,7 +837,7 @@
     }
 
     /// How many servers of its order serve a key: one does unless its requests make much of a server's share.
-    /// The more servers there are the less of all traffic it takes for one key to jam the one that it hashes to.
+    /// The more servers there are the less of all traffic it takes for one key to jam the one it hashes to.
     fn copies(&self, key: u64) -> usize {
         let (before, servers) =
             (self.keys.get(&key).map_or(0.0, |known| known.before), self.servers.len() as f64);
