--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -5,8 +5,8 @@
 use crate::net::upstream::{Ended, Message, Upstream};
 use bytes::Bytes;
 use pinhead::{
-    Action, Availability, Balancer, ClassId, Event, Name, Outcome, Request, RequestId, ServerEntry, ServerId,
-    ServerList, Status, TenantId, Timestamp,
+    Action, Availability, Balancer, ClassId, Event, Name, Note, Outcome, Request, RequestId, ServerEntry,
+    ServerId, ServerList, Status, TenantId, Timestamp,
 };
 use std::cell::Cell;
 use std::cmp::Reverse;
@@ -107,7 +107,7 @@
     server: ServerId,
     at: Instant,
     /// How it ended, and how long after it was sent.
-    end: Option<(Status, Duration)>,
+    end: Option<(Status, Option<Note>, Duration)>,
     /// `None` once its end is known.
     task: Option<AbortHandle>,
 }
@@ -253,7 +253,7 @@
         };
         sent.task = None;
         let (server, took) = (sent.server.clone(), sent.at.elapsed());
-        sent.end = Some((ended.status, took));
+        sent.end = Some((ended.status, ended.note, took));
         if let Some(body) = ended.body {
             reply(open, Answer::Served(body));
         }
@@ -372,7 +372,10 @@
             let server = &sent.server;
             // Writing to a string does not fail.
             let _ = match sent.end {
-                Some((status, took)) => write!(story, ", {server} {status:?} in {} ms", took.as_millis()),
+                Some((status, note, took)) => {
+                    let note = note.map_or_else(String::new, |note| format!(" ({note:?})"));
+                    write!(story, ", {server} {status:?}{note} in {} ms", took.as_millis())
+                }
                 None => write!(story, ", {server} out for {} ms", sent.at.elapsed().as_millis()),
             };
         }
