--- a/src/balance.rs
+++ b/src/balance.rs
@@ -57,7 +57,8 @@
 const ADMIT: f64 = 1.3;
 /// What a refusal for want of admission counts: less than a failure, so that admission grows fast again.
 const REFUSED: f64 = 0.25;
-const RATE_SPAN: Duration = Duration::from_secs(2);
+/// Aims of the quickest class over which it is counted what is in time: a jam comes and goes within a few.
+const RATE_AIMS: u32 = 4;
 /// Time over which weights that change with load are averaged, the most of it that a single list stands for,
 /// and what a weight counts at least, as a part of the largest.
 const WEIGHT_SPAN: Duration = Duration::from_secs(4);
@@ -296,7 +297,8 @@
     origin: Breaker,
     /// Never walked but to forget: its order differs from run to run.
     keys: HashMap<u64, Key>,
-    /// Answers that show no queue, and what showed one or was refused for it, over about `RATE_SPAN`.
+    /// Answers that show no queue, and what showed one or was refused for it, over about `rate_span`.
+    rate_span: Duration,
     good: f64,
     bad: f64,
     counted: Timestamp,
@@ -310,6 +312,8 @@
     /// A balancer that knows no server yet. `seed` should differ between nodes.
     pub fn new(mut settings: Settings, seed: u64) -> Self {
         let limit_start = (LIMIT_START / f64::from(settings.nodes.max(1))).max(1.0);
+        let quickest = settings.classes.iter().map(|class| class.aim).min().unwrap_or_default();
+        let rate_span = (quickest * RATE_AIMS).max(Duration::from_millis(1));
         // The last class is for requests of none: the most careful one.
         settings.classes.push(Class::default());
         let usual = settings.classes.iter().map(|class| class.aim.as_secs_f64()).collect();
@@ -330,6 +334,7 @@
             follow_at: Some(Timestamp::default()),
             limit_start,
             retry_budget: RETRY_SAVED,
+            rate_span,
             good: 0.0,
             bad: 0.0,
             counted: Timestamp::default(),
@@ -340,7 +345,7 @@
 
     /// Takes in what happened at `now` and appends what the node must do.
     pub fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
-        let faded = (-now.since(self.counted).as_secs_f64() / RATE_SPAN.as_secs_f64()).exp();
+        let faded = (-now.since(self.counted).as_secs_f64() / self.rate_span.as_secs_f64()).exp();
         (self.good, self.bad, self.counted) = (self.good * faded, self.bad * faded, now);
         self.make_room(now);
         match event {
@@ -503,7 +508,8 @@
         }
         let caches = self.servers.iter().filter(|server| self.in_use(server));
         let fleet = caches.map(|server| self.capacity(server, now)).sum::<f64>().max(1e-9);
-        let pace = self.good.max(1.0) / RATE_SPAN.as_secs_f64() * self.settings.fall_multiple * COLD_PART;
+        let pace =
+            self.good.max(1.0) / self.rate_span.as_secs_f64() * self.settings.fall_multiple * COLD_PART;
         for i in 0..self.servers.len() {
             let pace = pace * self.capacity(&self.servers[i], now) / fleet;
             let most = (pace * self.settings.fall_span.as_secs_f64() / 2.0).max(1.0);
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -251,3 +251,34 @@
     }
     assert!(sent >= 76, "{sent} of 80 were sent once it had grown old");
 }
+
+/// The danger: a node that counts over many aims what was in time lets a burst fill all queues before it refuses
+/// anything, and refuses for as long after the servers have worked them down.
+#[test]
+fn a_jam_is_met_and_forgotten_within_a_few_aims() {
+    let mut node = Node::with_servers(Settings { nodes: 100, ..settings() }, 20);
+    let mut rng = fastrand::Rng::with_seed(11);
+    let mut play = |node: &mut Node, count: u32, status: Status| {
+        let mut sent = 0;
+        for _ in 0..count {
+            let id = node.request(0, rng.u64(..), ms(400));
+            if node.out(&id).is_some() {
+                sent += 1;
+                node.pass(ms(if status == Status::Ok { 20 } else { 110 }));
+                while node.out(&id).is_some() {
+                    node.answer(&id, status);
+                }
+            }
+            node.pass(ms(30));
+            node.requests.retain(|_, open| !open.ended);
+        }
+        sent
+    };
+    assert_eq!(play(&mut node, 100, Status::Ok), 100);
+    play(&mut node, 10, Status::TimedOut);
+    let jammed = play(&mut node, 20, Status::TimedOut);
+    assert!(jammed < 14, "{jammed} of 20 were sent into the jam");
+    play(&mut node, 30, Status::Ok);
+    let after = play(&mut node, 20, Status::Ok);
+    assert!(after > 15, "{after} of 20 were sent after it");
+}
