Take errors that come again at another server for the origin's

Ruled out: servers (all 179 erred alike, and their hits took 80 to 110 ms) and the notes that trip the origin's breaker: of 47,488 errors none carried one.

At fault: decide() tried each failed fetch again at servers that ask the same origin, at a tenth of the retry budget as the errors were quick, and errors did not count for admission. A breaker now counts how retries of errors end. While it is not closed an error is the origin's: not tried again, not blamed on its server, and counted for admission.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -235,8 +235,8 @@
 struct Attempt {
     entry: ServerEntry,
     sent: Timestamp,
-    /// Of the server's breaker and of the origin's, when it was sent.
-    epochs: (u32, u32),
+    /// Of the server's breaker, of the origin's and of that for fetches, when it was sent.
+    epochs: (u32, u32, u32),
     status: Option<Status>,
     /// When no answer to it is a failure, and whether that was counted.
     overdue: Timestamp,
@@ -295,6 +295,8 @@
     zones: Vec<Zone>,
     /// The breaker of what servers fetch misses from, where they tell of misses.
     origin: Breaker,
+    /// The breaker of trying a read's error again elsewhere: errors that come again are the origin's.
+    fetches: Breaker,
     /// Never walked but to forget: its order differs from run to run.
     keys: HashMap<u64, Key>,
     /// Answers that show no queue, and what showed one or was refused for it, over about `rate_span`.
@@ -326,6 +328,7 @@
             kinds: Vec::new(),
             zones: Vec::new(),
             origin: Breaker::new(Timestamp::default()),
+            fetches: Breaker::new(Timestamp::default()),
             keys: HashMap::new(),
             servers: Vec::new(),
             held: HashMap::new(),
@@ -594,6 +597,10 @@
         let Some(attempt) = held.attempts.get_mut(outcome.attempt as usize) else { return self.keep(held) };
         attempt.status = Some(outcome.status);
         let fetched = outcome.note == Some(Note::Miss) && self.settings.mode == CacheMode::Through;
+        let epochs = attempt.epochs;
+        self.judge_fetches(now, &held, outcome, epochs.2, actions);
+        let unfetched = outcome.status == Status::Failed && self.fetches.state != State::Closed;
+        self.bad += if unfetched { 1.0 } else { 0.0 };
         // A client that gave up before an answer would have been late tells of itself, not of the server.
         let impatient = outcome.status == Status::TimedOut
             && outcome.took < self.class(&held.request).aim.mul_f64(AIM_SHARE);
@@ -602,7 +609,7 @@
             Status::Canceled | Status::Ignored => None,
             _ if impatient => None,
             // A failed fetch is the origin's failure, not the server's: another would ask the same origin.
-            _ if fetched => None,
+            _ if fetched || unfetched => None,
             _ => Some(false),
         };
         if fetched || outcome.note == Some(Note::Hit) {
@@ -610,17 +617,13 @@
                 key.kept = ok.is_some();
             }
         }
-        if self.origin.on_outcome(attempt.epochs.1, fetched.then_some(ok.is_some()), None, now) {
-            self.origin.enter(
-                State::Open {
-                    until: now + COOLDOWN.mul_f64(0.75 + unit(mix(self.seed ^ now.as_micros())) / 2.0),
-                },
-                now,
-            );
+        if self.origin.on_outcome(epochs.1, fetched.then_some(ok.is_some()), None, now) {
+            self.origin.enter(self.rest(now), now);
             actions.push(Action::Log("breaker of the origin tripped".into()));
         }
         // What was overdue has been counted already.
-        let (epoch, known) = (attempt.epochs.0, attempt.counted);
+        let known = held.attempts[outcome.attempt as usize].counted;
+        let epoch = epochs.0;
         let in_time = outcome.took <= self.due_within(&held.request);
         let work = held.request.expected_work.map_or(0.0, |work| work.as_secs_f64());
         self.usual_work += (work - self.usual_work) / 100.0;
@@ -673,6 +676,37 @@
         self.decide(now, held, actions);
     }
 
+    /// An open state of the origin's breakers: they trip at all nodes together and must not all end together.
+    fn rest(&self, now: Timestamp) -> State {
+        let part = 0.75 + unit(mix(self.seed ^ now.as_micros())) / 2.0;
+        State::Open { until: now + COOLDOWN.mul_f64(part) }
+    }
+
+    /// Counts whether an error came again at another server. One that does is no server's: all ask the same
+    /// origin, and one that cannot keep up serves nobody while failed fetches are tried again elsewhere.
+    fn judge_fetches(
+        &mut self,
+        now: Timestamp,
+        held: &Held,
+        outcome: &Outcome,
+        epoch: u32,
+        actions: &mut Vec<Action>,
+    ) {
+        let before = (outcome.attempt as usize).checked_sub(1).and_then(|i| held.attempts.get(i));
+        if self.settings.mode != CacheMode::Through || before.and_then(|a| a.status) != Some(Status::Failed) {
+            return;
+        }
+        let ok = match outcome.status {
+            Status::Ok => Some(true),
+            Status::Failed => Some(false),
+            _ => None,
+        };
+        if self.fetches.on_outcome(epoch, ok, None, now) {
+            self.fetches.enter(self.rest(now), now);
+            actions.push(Action::Log("errors come again at other servers: taken for the origin's".into()));
+        }
+    }
+
     /// An answer to it that comes later is late: past a part of its aim, or for a heavy one past more of it.
     fn due_within(&self, request: &Request) -> Duration {
         let work = request.expected_work.map_or(0.0, |work| work.as_secs_f64());
@@ -711,6 +745,8 @@
         let retry = held.attempts.last().filter(|a| a.status != Some(Status::Miss));
         let cost = retry.map_or(0.0, |last| self.retry_cost(now, &held.request, last));
         let barred = self.retry_budget < cost;
+        let failed = retry.is_some_and(|last| last.status == Some(Status::Failed));
+        let barred = barred || failed && !self.fetches.admits(now);
         // A fleet that is jammed as a whole drains only if most is refused before it is sent.
         let good = self.good + f64::from(MIN_CALLS);
         let excess = held.attempts.is_empty() && held.luck * (good + self.bad) > good * ADMIT;
@@ -748,7 +784,10 @@
             self.origin.on_send(now);
         }
         let skew = u32::from(kept && self.origin.state != State::Closed);
-        let epochs = (server.breaker.epoch, self.origin.epoch.wrapping_sub(skew));
+        if failed {
+            self.fetches.on_send(now);
+        }
+        let epochs = (server.breaker.epoch, self.origin.epoch.wrapping_sub(skew), self.fetches.epoch);
         let (entry, overdue) = (server.entry.clone(), now + self.due_within(&held.request));
         if overdue < held.request.valid_until {
             self.due.insert((overdue, held.request.id.clone()));
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -282,3 +282,35 @@
     let after = play(&mut node, 20, Status::Ok);
     assert!(after > 15, "{after} of 20 were sent after it");
 }
+
+/// An error does not say that it was a failed fetch. The danger: each one is tried again at servers that ask the same
+/// origin, twice or more the fetches that it could not keep up with, and none of them is served.
+#[test]
+fn errors_that_come_again_elsewhere_are_not_tried_again() {
+    let sends = |again: Status| {
+        let mut node = Node::with_servers(Settings { nodes: 100, ..settings() }, 40);
+        let mut rng = fastrand::Rng::with_seed(12);
+        for step in 0..60 {
+            for _ in 0..4 {
+                node.call(rng.u64(..), Status::Ok);
+            }
+            let id = node.request(0, rng.u64(..), ms(400));
+            let mut status = Status::Failed;
+            while node.out(&id).is_some() {
+                node.pass(ms(10));
+                node.answer(&id, status);
+                status = again;
+            }
+            node.pass(ms(40));
+            if step < 20 {
+                node.trace.clear();
+            }
+            node.requests.clear();
+        }
+        let sent = |action: &&Action| matches!(action, Action::Send { .. });
+        node.trace.iter().filter(sent).count() - 4 * 40
+    };
+    // Of the last 40 requests that met an error.
+    assert!(sends(Status::Ok) >= 75, "{} sends: those of one server are tried elsewhere", sends(Status::Ok));
+    assert!(sends(Status::Failed) < 50, "{} sends: the origin's are not", sends(Status::Failed));
+}
