Keep connections until shortly before their servers close them

"0 closed as idle": the nodes closed them.

At fault: idle connections were retired after half of the servers' 15 s. A node meets a server about every 10 s there, so every second meeting came after its connection's end. They are now kept until two connect time-outs before the servers' time, which the settings tell both.

Ruled out: the table of the servers (20,952 connections at once at 156 of them) and the nodes' descriptors (166 of 608).

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -31,9 +31,6 @@
 const DECLINED: HeaderName = HeaderName::from_static("srv-declined");
 const LOAD: HeaderName = HeaderName::from_static("srv-load");
 const CACHE: HeaderName = HeaderName::from_static("srv-cache");
-/// Share of the servers' idle time after which a kept connection is retired: one that its server is about to
-/// close would take a request only to end it as a reset.
-const IDLE_SHARE: u32 = 2;
 const SWEEP: Duration = Duration::from_secs(1);
 
 /// Lengths of idle time told apart, each twice the one before, from under a millisecond up.
@@ -220,7 +217,7 @@
             open: Rc::default(),
             most,
             connect_timeout,
-            idle_limit: keepalive / IDLE_SHARE,
+            idle_limit: idle_limit(keepalive, connect_timeout),
             wear: Wear::default(),
         }
     }
@@ -356,6 +353,14 @@
     }
 }
 
+/// When a kept connection is retired. Its server closes it at the latest when it has stood idle for `keepalive`, and
+/// a request that is on its way then ends as a reset: no way takes longer than a connection may take to come up and
+/// back. Retired much sooner, the connections of a node that meets each server a few times a minute are made anew
+/// for most requests.
+fn idle_limit(keepalive: Duration, connect_timeout: Duration) -> Duration {
+    keepalive.saturating_sub(connect_timeout * 2).max(keepalive / 2)
+}
+
 fn request(
     peer: &Peer,
     message: &Message,
@@ -410,3 +415,17 @@
         _ => Status::Failed,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_connection_is_kept_until_shortly_before_its_server_closes_it() {
+        let ms = Duration::from_millis;
+        assert_eq!(idle_limit(ms(15_000), ms(200)), ms(14_600));
+        // Where a connection may take longer to come up than servers keep one, half of that time is left.
+        assert_eq!(idle_limit(ms(1_000), ms(5_000)), ms(500));
+        assert_eq!(idle_limit(ms(0), ms(200)), ms(0));
+    }
+}
