Take one good answer for granted in admission, not three

Seen: join+mass and roll+mass: queues stay full from 10 s on while a node of 16 requests a second sees some ten answers within four aims, so that three taken for granted let in a quarter more than it knows to be served.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -55,6 +55,8 @@
 const KEYS_KNOWN: usize = 4096;
 /// Requests for each one in time that a node admits while most of what it sends fails.
 const ADMIT: f64 = 1.3;
+/// Answers in time that are taken for granted: a node of a large fleet sees no more than some ten within the span.
+const ADMIT_PRIOR: f64 = 1.0;
 /// What a refusal for want of admission counts: less than a failure, so that admission grows fast again.
 const REFUSED: f64 = 0.25;
 /// Aims of the quickest class over which it is counted what is in time: a jam comes and goes within a few.
@@ -748,7 +750,7 @@
         let failed = retry.is_some_and(|last| last.status == Some(Status::Failed));
         let barred = barred || failed && !self.fetches.admits(now);
         // A fleet that is jammed as a whole drains only if most is refused before it is sent.
-        let good = self.good + f64::from(MIN_CALLS);
+        let good = self.good + ADMIT_PRIOR;
         let excess = held.attempts.is_empty() && held.luck * (good + self.bad) > good * ADMIT;
         self.bad += if excess { REFUSED } else { 0.0 };
         // An origin with a queue longer than anyone waits serves nobody until likely misses leave it alone.
