--- a/src/balance.rs
+++ b/src/balance.rs
@@ -707,7 +707,14 @@
             Status::Failed => Some(false),
             _ => None,
         };
+        // Where few of all attempts fail, two errors in a row are chance: spoilt answers, or two bad servers.
         if self.fetches.on_outcome(epoch, ok, None, now) {
+            let breakers = self.servers.iter().map(|server| &server.breaker);
+            let recent = breakers.filter(|breaker| now < breaker.window_ends);
+            let (calls, failed) = recent.fold((0, 0), |(c, f), b| (c + b.calls, f + b.failures));
+            if f64::from(failed) < COMMON_RATE * f64::from(calls) {
+                return self.fetches.enter(State::Closed, now);
+            }
             self.fetches.enter(self.rest(now), now);
             actions.push(Action::Log("errors come again at other servers: taken for the origin's".into()));
         }
