--- a/src/bin/pinhead-wirehost.rs
+++ b/src/bin/walkpick-adapter.rs
@@ -1,17 +1,17 @@
 //! Hosts balancers on the simulator's wire: one isolated `Balancer` per instance, lines in, lines out.
 
-use pinhead::wire::{end_reply, write_action, write_fault, Input, Parser};
-use pinhead::{Action, Balancer, Event, Timestamp};
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
+use walkpick::wire::{end_reply, write_action, write_fault, Input, Parser};
+use walkpick::{Action, Balancer, Event, Timestamp};
 
 fn main() -> ExitCode {
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("pinhead-wirehost: {error}");
+            eprintln!("walkpick-adapter: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,7 +14,6 @@
 use net::driver::Driver;
 use net::server::{serve, Front, Stage};
 use net::upstream::Upstream;
-use pinhead::Balancer;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -26,6 +25,7 @@
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
+use walkpick::Balancer;
 
 /// SIGKILL follows SIGTERM no sooner than after the longest deadline and this much. A longer deadline than
 /// `DEADLINE_MOST` counts as that.
@@ -42,7 +42,7 @@
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("pinhead: {error}");
+            eprintln!("walkpick: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,14 +1,14 @@
 //! `LB_CONFIG` and the environment, read into typed values.
 
 use crate::net::discovery::Listing;
-use pinhead::wire::{read_settings, WireError};
-use pinhead::Settings;
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use thiserror::Error;
+use walkpick::wire::{read_settings, WireError};
+use walkpick::Settings;
 
 /// Why the node cannot start.
 #[derive(Debug, Error)]
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -7,7 +7,6 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use pinhead::{Availability, ServerEntry, Timestamp};
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -19,6 +18,7 @@
 use tokio::sync::{watch, Notify};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
+use walkpick::{Availability, ServerEntry, Timestamp};
 
 /// How long a watch asks discovery to wait. A change ends the wait at once, and the agent that holds the
 /// address answers at no cost: a short wait only bounds how long a lost call goes unnoticed.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -4,10 +4,6 @@
 use crate::net::discovery::Listing;
 use crate::net::upstream::{Ended, Message, Upstream};
 use bytes::Bytes;
-use pinhead::{
-    Action, Availability, Balancer, ClassId, Event, Name, Note, Outcome, Request, RequestId, ServerEntry,
-    ServerId, ServerList, Status, TenantId, Timestamp,
-};
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -19,6 +15,10 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, Instant};
+use walkpick::{
+    Action, Availability, Balancer, ClassId, Event, Name, Note, Outcome, Request, RequestId, ServerEntry,
+    ServerId, ServerList, Status, TenantId, Timestamp,
+};
 
 /// Taken off a client's time: it counts from when the client sent, and the answer has its way back to go.
 const MARGIN: Duration = Duration::from_millis(5);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -11,7 +11,6 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use pinhead::{ClassId, Name, Settings, TenantId};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -25,6 +24,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{oneshot, watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+use walkpick::{ClassId, Name, Settings, TenantId};
 
 const REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
 const REQ_OWNER: HeaderName = HeaderName::from_static("req-owner");
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -9,8 +9,6 @@
 use hyper::rt::ReadBufCursor;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use pinhead::wire::read_load;
-use pinhead::{LoadReport, Note, ServerId, Status};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
@@ -22,6 +20,8 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
+use walkpick::wire::read_load;
+use walkpick::{LoadReport, Note, ServerId, Status};
 
 /// The largest body of a message either way.
 pub const LARGEST_BODY: usize = 64 << 10;
--- a/tests/aside.rs
+++ b/tests/aside.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use pinhead::*;
+use walkpick::*;
 
 fn node() -> Node {
     let (settings, origin) = aside();
--- a/tests/breaker.rs
+++ b/tests/breaker.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use pinhead::*;
 use std::cell::Cell;
+use walkpick::*;
 
 thread_local!(static LAST: Cell<u64> = const { Cell::new(7) });
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,9 +1,9 @@
 //! A node around a `Balancer`: it carries the actions out on paper and checks the rules from outside.
 #![allow(dead_code)]
 
-use pinhead::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
+use walkpick::*;
 
 pub fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use pinhead::*;
+use walkpick::*;
 
 /// `nodes` nodes that know servers a, b, c and so on.
 fn fleet(nodes: u32, servers: u8) -> Vec<Node> {
--- a/tests/hashing.rs
+++ b/tests/hashing.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use pinhead::*;
 use std::collections::BTreeMap;
+use walkpick::*;
 
 fn owners(node: &mut Node) -> BTreeMap<u64, ServerId> {
     let mut owners = BTreeMap::new();
--- a/tests/node_common/mod.rs
+++ b/tests/node_common/mod.rs
@@ -245,13 +245,13 @@
 
 pub fn write_config(text: &str) -> std::path::PathBuf {
     let number = CONFIGS.fetch_add(1, Ordering::SeqCst);
-    let path = std::env::temp_dir().join(format!("pinhead-{}-{number}.json", std::process::id()));
+    let path = std::env::temp_dir().join(format!("walkpick-{}-{number}.json", std::process::id()));
     std::fs::write(&path, text).unwrap();
     path
 }
 
 pub fn command() -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_pinhead"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_walkpick"));
     for variable in ["LB_CONFIG", "LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
         command.env_remove(variable);
     }
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use pinhead::*;
+use walkpick::*;
 
 #[test]
 fn retries_stop_when_their_budget_is_spent() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use pinhead::*;
 use std::time::Duration;
+use walkpick::*;
 
 #[test]
 fn an_unsafe_request_is_sent_again_only_when_it_never_ran() {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,10 +1,10 @@
 //! The wire: lines in and out, and the host around it.
 
-use pinhead::wire::{write_action, Input, Parser};
-use pinhead::*;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 use std::time::Duration;
+use walkpick::wire::{write_action, Input, Parser};
+use walkpick::*;
 
 const START: &str = "power_on who=3 prng=5 az=x lanes.count=2 lanes.0.name=read lanes.0.effect=safe lanes.0.promise_us=150000 \
     lanes.0.hard_limit_us=400000 lanes.1.name=log lanes.1.effect=keyed lanes.1.dedup_scope=zone lanes.1.repeat_window_us=600000 \
@@ -158,7 +158,7 @@
 }
 
 fn host(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_pinhead-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_walkpick-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -233,6 +233,6 @@
 #[test]
 fn a_panic_in_a_decision_is_reported_on_one_line_with_its_text() {
     let mut reply = String::new();
-    pinhead::wire::write_fault(&mut reply, 3, "index\nout of range");
+    walkpick::wire::write_fault(&mut reply, 3, "index\nout of range");
     assert_eq!(reply, "bail_out who=3 body_text=index out of range\n");
 }
