Hold whatever is taken at a stop to the node's own end, not to the client's patience

Cause: main.rs served on after SIGTERM for 0.7 s plus 0.4 of the longest deadline less 0.1 s, on the ground that a client gives a try up after 0.6 of its class's deadline. Nothing else bounded an answer, and a node that is late counted its time from when it noticed the signal.

Change: src/net/lifecycle.rs plans a stop: when it closes (as before), by when all answers are given, when the process is gone, and when the kill may come. The driver holds every open request, and all that come, to that time; a half-read first request no longer keeps its connection for 60 s; at the end every connection closes. SIGTERM is taken for as old as the look at the clock before the last one, and lateness of late makes the end earlier. Signals are caught before the configuration is read (a SIGTERM while the node started ended it with 143). At its end the node logs the spare time of its last answer.

Result: tests with paused clocks for requests held for room, sent and silent, sent again, taken late and half read; without the change they end 599 s and 60 s after the signal.

--- a/src/main.rs
+++ b/src/main.rs
@@ -5,36 +5,29 @@
     pub mod config;
     pub mod discovery;
     pub mod driver;
+    pub mod lifecycle;
     pub mod server;
     pub mod upstream;
 }
 
 use net::config::{self, Config};
 use net::discovery::Discovery;
-use net::driver::Driver;
-use net::server::{serve, Front, Stage};
+use net::driver::{Driver, Input};
+use net::lifecycle::{Pulse, Stage, Stop};
+use net::server::{serve, Front};
 use net::upstream::Upstream;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::runtime;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::sleep;
+use tokio::time::{sleep_until, timeout_at, Instant};
 use walkpick::Balancer;
 
-/// SIGKILL follows SIGTERM no sooner than after the longest deadline and this much. A longer deadline than
-/// `DEADLINE_MOST` counts as that.
-const BEFORE_KILL: Duration = Duration::from_millis(700);
-const DEADLINE_MOST: Duration = Duration::from_secs(3);
-/// A client gives a try up after this share of its class's deadline at the latest.
-const TRY_SHARE: f64 = 0.6;
-/// Taken off the time to leave, for answers that are on their way.
-const LEAVING_MARGIN: Duration = Duration::from_millis(100);
 /// Descriptors left for the runtime, the listener, discovery and the standard streams.
 const SPARE_SOCKETS: usize = 24;
 
@@ -49,18 +42,20 @@
 }
 
 fn start() -> Result<(), Box<dyn Error>> {
-    let config = config::load(|name| std::env::var(name).ok())?;
     // A node has one core: one thread, and no locks between its parts.
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(config))
+    LocalSet::new().block_on(&runtime, run())
 }
 
-async fn run(config: Config) -> Result<(), Box<dyn Error>> {
-    let Config { name, listen, discovery, seed, sockets, known, settings } = config;
-    let listener =
-        TcpListener::bind(listen).await.map_err(|error| format!("cannot listen on {listen}: {error}"))?;
+async fn run() -> Result<(), Box<dyn Error>> {
+    // First of all: a signal that comes while the node starts waits for it.
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
+    let pulse = Rc::new(Pulse::start());
+    let Config { name, listen, discovery, seed, sockets, known, settings } =
+        config::load(|name| std::env::var(name).ok())?;
+    let listener =
+        TcpListener::bind(listen).await.map_err(|error| format!("cannot listen on {listen}: {error}"))?;
     eprintln!("node {name} listens on {}", listener.local_addr()?);
 
     // A request holds a connection of its client for as long as one to a cache server.
@@ -72,7 +67,7 @@
     let (follow, ready) = (Rc::new(Notify::new()), Rc::default());
     let upstream = Rc::new(Upstream::new(most, settings.connect_timeout, settings.keepalive));
     let front = Rc::new(Front::new(&settings, Rc::clone(&ready), stage, events.clone()));
-    let leaving = leaving(settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default());
+    let longest_deadline = settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
     let seq = (!known.hosts.is_empty()).then_some(known.seq);
     let random = fastrand::Rng::with_seed(seed);
     let watching = Discovery { address: discovery, seq, random, events: events.clone() };
@@ -81,24 +76,44 @@
     spawn_local(watching.run(follow.clone()));
     spawn_local(reload(hangup, moves));
     let balancer = Balancer::new(settings, seed);
-    spawn_local(Driver::new(balancer, upstream, follow, ready, events).run(known, inputs));
-    let serving = spawn_local(serve(listener, front, most));
+    spawn_local(Driver::new(balancer, upstream, follow, ready, events.clone()).run(known, inputs));
+    let mut serving = spawn_local(serve(listener, front.clone(), most));
+
+    let beating = pulse.clone();
+    spawn_local(async move { beating.beat().await });
 
     terminate.recv().await;
-    eprintln!("node {name} is told to stop");
+    let (told, noticed) = (pulse.before_signal(), Instant::now());
+    let stop = Stop::plan(told, noticed, pulse.lateness(), longest_deadline);
+    eprintln!(
+        "node {name} is told to stop: it closes in {} ms and is gone in {} ms",
+        ms_until(stop.close_at),
+        ms_until(stop.gone_by)
+    );
+    // The driver only goes when the node does.
+    let _ = events.send(Input::Stopping { answer_by: stop.answer_by });
     stages.send_replace(Stage::Leaving);
-    sleep(leaving).await;
+    sleep_until(stop.close_at).await;
     stages.send_replace(Stage::Closing);
-    serving.await?;
+    let ended = timeout_at(stop.gone_by, &mut serving).await;
+    stages.send_replace(Stage::Gone);
+    if let Ok(ended) = ended {
+        ended?;
+    } else {
+        serving.await?;
+    }
+    let last = front.answered.get().filter(|last| *last >= told);
+    let spare =
+        last.map_or_else(|| "none".to_owned(), |last| format!("{} ms", (stop.kill - last).as_millis()));
+    eprintln!(
+        "node {name} is gone {} ms before it may be killed; spare time of its last answer: {spare}",
+        ms_until(stop.kill)
+    );
     Ok(())
 }
 
-/// For how long a node that is told to stop serves on. Clients keep the connections they have, and the front
-/// may have no other node ready yet: as long as the slowest request taken would still be answered before the
-/// kill, they are better served here than sent away.
-fn leaving(longest_deadline: Duration) -> Duration {
-    let spare = longest_deadline.min(DEADLINE_MOST).saturating_sub(longest_deadline.mul_f64(TRY_SHARE));
-    BEFORE_KILL + spare - LEAVING_MARGIN
+fn ms_until(then: Instant) -> u128 {
+    then.saturating_duration_since(Instant::now()).as_millis()
 }
 
 /// At each SIGHUP the configuration is read anew for where discovery is. A file that does not say changes
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -70,6 +70,10 @@
     },
     Listing(Listing),
     ListingFailed,
+    /// The node stops: every answer is due by then.
+    Stopping {
+        answer_by: Instant,
+    },
 }
 
 /// The one clock: it runs evenly, from the system's time at the start, which discovery's times are told in.
@@ -127,6 +131,8 @@
     ready: Rc<Cell<bool>>,
     events: UnboundedSender<Input>,
     open: HashMap<RequestId, Open>,
+    /// When the node stops: by when the last answer is due.
+    answer_by: Option<Instant>,
     timers: BinaryHeap<Reverse<(Instant, Timer)>>,
     due: VecDeque<Event>,
 }
@@ -148,6 +154,7 @@
             ready,
             events,
             open: HashMap::new(),
+            answer_by: None,
             timers: BinaryHeap::new(),
             due: VecDeque::new(),
         }
@@ -155,26 +162,34 @@
 
     /// Runs for as long as the node does.
     pub async fn run(mut self, known: Listing, mut inputs: UnboundedReceiver<Input>) {
+        self.restore(known);
+        while self.step(&mut inputs).await {}
+    }
+
+    fn restore(&mut self, known: Listing) {
         let entries = self.learn(&Listing { whole: true, ..known });
         self.due.push_back(Event::Restored(entries));
         self.handle_due();
-        loop {
-            let next = self.timers.peek().map(|Reverse((at, _))| *at);
-            let timer = async {
-                match next {
-                    Some(at) => sleep_until(at).await,
-                    None => std::future::pending().await,
-                }
-            };
-            tokio::select! {
-                input = inputs.recv() => match input {
-                    Some(input) => self.take(input),
-                    None => return,
-                },
-                () = timer => self.ring(),
+    }
+
+    /// Takes in one thing that happens, and does all that follows from it. `false` where nothing more can come.
+    async fn step(&mut self, inputs: &mut UnboundedReceiver<Input>) -> bool {
+        let next = self.timers.peek().map(|Reverse((at, _))| *at);
+        let timer = async {
+            match next {
+                Some(at) => sleep_until(at).await,
+                None => std::future::pending().await,
             }
-            self.handle_due();
+        };
+        tokio::select! {
+            input = inputs.recv() => match input {
+                Some(input) => self.take(input),
+                None => return false,
+            },
+            () = timer => self.ring(),
         }
+        self.handle_due();
+        true
     }
 
     fn take(&mut self, input: Input) {
@@ -196,6 +211,7 @@
                     if listing.whole { ServerList::Full(entries) } else { ServerList::Changes(entries) };
                 self.due.push_back(Event::Servers(list));
             }
+            Input::Stopping { answer_by } => self.stop(answer_by),
             Input::ListingFailed => self.due.push_back(Event::Servers(ServerList::Unavailable)),
         }
     }
@@ -221,7 +237,7 @@
 
     fn request(&mut self, taken: Taken) {
         let id = request_id(taken.ticket);
-        let until = taken.at + taken.patience.saturating_sub(MARGIN);
+        let until = self.bound(taken.at + taken.patience.saturating_sub(MARGIN));
         let open = Open {
             message: Rc::new(taken.message),
             kind: taken.kind,
@@ -245,6 +261,29 @@
         }));
     }
 
+    /// `until`, or what the node's own end leaves of it: a client that would wait longer gets its answer before.
+    fn bound(&self, until: Instant) -> Instant {
+        match self.answer_by {
+            Some(answer_by) => until.min(answer_by.checked_sub(GUARD).unwrap_or(answer_by)),
+            None => until,
+        }
+    }
+
+    /// Whatever is out when the node is told to stop is held to its end as well.
+    fn stop(&mut self, answer_by: Instant) {
+        self.answer_by = Some(answer_by);
+        let owed = self.open.iter().filter(|(_, open)| open.answer.is_some());
+        let cut: Vec<_> = owed.filter(|(_, open)| self.bound(open.until) < open.until).collect();
+        let cut: Vec<_> = cut.into_iter().map(|(id, _)| id.clone()).collect();
+        for id in cut {
+            let until = self.open.get(&id).map(|open| self.bound(open.until));
+            if let (Some(open), Some(until)) = (self.open.get_mut(&id), until) {
+                open.until = until;
+                self.timers.push(Reverse((until + GUARD, Timer::Guard(id))));
+            }
+        }
+    }
+
     fn ended(&mut self, id: RequestId, attempt: u32, ended: Ended) {
         let Some(open) = self.open.get_mut(&id) else { return };
         // One that was cancelled meanwhile has ended already.
@@ -402,3 +441,133 @@
 fn request_id(ticket: u64) -> RequestId {
     RequestId::from(ticket.to_string().as_str())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hyper::header::HeaderValue;
+    use hyper::Method;
+    use serde_json::json;
+    use std::net::TcpListener;
+    use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
+    use tokio::sync::oneshot::Receiver;
+    use tokio::task::LocalSet;
+    use walkpick::{Class, Effect, LoadReport, Settings};
+
+    /// A driver whose cache servers take connections and say nothing: what attempts come to is made up.
+    struct Rig {
+        driver: Driver,
+        events: UnboundedSender<Input>,
+        inputs: UnboundedReceiver<Input>,
+        _servers: Vec<TcpListener>,
+        tickets: u64,
+    }
+
+    const LONG: Duration = Duration::from_secs(600);
+
+    impl Rig {
+        fn new(servers: usize) -> Self {
+            let class = |effect| Class { effect, aim: LONG, deadline: LONG, ..Class::default() };
+            let classes = vec![class(Effect::Safe), class(Effect::Unsafe)];
+            let settings = Settings { nodes: 16, classes, ..Settings::default() };
+            let (events, inputs) = unbounded_channel();
+            let upstream = Rc::new(Upstream::new(100, LONG, LONG));
+            let (follow, ready) = Default::default();
+            let mut driver = Driver::new(Balancer::new(settings, 1), upstream, follow, ready, events.clone());
+            let servers: Vec<_> = (0..servers).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+            let hosts = servers.iter().enumerate().map(|(i, server)| {
+                json!({"host": format!("s-{i}"), "dial": server.local_addr().unwrap(), "health": "ready"})
+            });
+            let known = json!({"seq": 1, "whole": true, "hosts": hosts.collect::<Vec<_>>()});
+            driver.restore(serde_json::from_value(known).unwrap());
+            Self { driver, events, inputs, _servers: servers, tickets: 0 }
+        }
+
+        fn ask(&mut self, class: usize) -> (RequestId, Receiver<Answer>) {
+            self.tickets += 1;
+            let (answer, receiver) = oneshot::channel();
+            let message = crate::net::upstream::Message {
+                method: Method::GET,
+                target: "/api/7".parse().unwrap(),
+                id: HeaderValue::from(self.tickets),
+                idempotency_key: None,
+                body: Bytes::new(),
+            };
+            self.driver.take(Input::Taken(Box::new(Taken {
+                ticket: self.tickets,
+                at: Instant::now(),
+                patience: LONG,
+                class: ClassId(class),
+                kind: "read".into(),
+                aim: LONG,
+                tenant: None,
+                key: Some(7),
+                expected_work: None,
+                write: false,
+                client_retry: false,
+                message,
+                answer,
+            })));
+            self.driver.handle_due();
+            (request_id(self.tickets), receiver)
+        }
+
+        fn end(&mut self, id: &RequestId, status: Status) {
+            let attempt = self.driver.open[id].attempts.len() as u32 - 1;
+            let body = (status == Status::Ok).then(Bytes::new);
+            let ended = Ended { status, note: None, load: LoadReport::default(), body };
+            self.driver.take(Input::Ended { id: id.clone(), attempt, ended });
+            self.driver.handle_due();
+        }
+
+        fn attempts(&self, id: &RequestId) -> usize {
+            self.driver.open[id].attempts.len()
+        }
+    }
+
+    // Guards against a request that is still out when the kill comes: a client's own patience may be longer.
+    #[tokio::test(start_paused = true)]
+    async fn whatever_is_out_when_the_node_stops_is_answered_before_its_end() {
+        LocalSet::new().run_until(stop_with_all_kinds_out()).await;
+    }
+
+    async fn stop_with_all_kinds_out() {
+        let mut rig = Rig::new(3);
+        let silent = rig.ask(1);
+        let again = rig.ask(0);
+        rig.end(&again.0, Status::ConnectError);
+        assert_eq!((rig.attempts(&silent.0), rig.attempts(&again.0)), (1, 2), "sent, and sent again");
+        // A server that answered quickly so far and has no room now: what comes waits for a place.
+        let mut crowded = Rig::new(1);
+        for _ in 0..300 {
+            let quick = crowded.ask(0);
+            crowded.end(&quick.0, Status::Ok);
+        }
+        let waiting: Vec<_> = (0..10).map(|_| crowded.ask(0)).collect();
+        let held = waiting.iter().filter(|(id, _)| crowded.attempts(id) == 0).count();
+        assert!(held > 0, "none was held for room");
+        let (told, end) = (Instant::now(), Instant::now() + Duration::from_secs(2));
+        for rig in [&rig, &crowded] {
+            rig.events.send(Input::Stopping { answer_by: end }).unwrap();
+        }
+        rig.driver.step(&mut rig.inputs).await;
+        crowded.driver.step(&mut crowded.inputs).await;
+        let (late, mut owed) = (rig.ask(0), vec![silent.1, again.1]);
+        assert_eq!(rig.attempts(&late.0), 1, "sent after the node was told");
+        owed.extend([late.1]);
+        owed.extend(waiting.into_iter().map(|(_, answer)| answer));
+        while !rig.driver.open.values().all(|open| open.answer.is_none()) {
+            rig.driver.step(&mut rig.inputs).await;
+        }
+        while !crowded.driver.open.values().all(|open| open.answer.is_none()) {
+            crowded.driver.step(&mut crowded.inputs).await;
+        }
+        assert!(Instant::now() <= end, "answered {:?} after the node was told", told.elapsed());
+        assert!(owed.iter_mut().all(|answer| answer.try_recv().is_ok()), "each has its answer");
+        let after = rig.ask(0);
+        assert!(
+            !rig.driver.open.contains_key(&after.0),
+            "what comes after the last moment is answered at once"
+        );
+    }
+}
--- /dev/null
+++ b/src/net/lifecycle.rs
@@ -0,0 +1,155 @@
+//! From SIGTERM to the end: until when the node serves on, by when all that it took has an answer, when it goes.
+//!
+//! Source of the figures: the protocol page, "Figures" (planned restarts).
+
+use std::cell::Cell;
+use std::time::Duration;
+use tokio::time::{sleep_until, Instant};
+
+/// SIGKILL follows SIGTERM no sooner than after the longest deadline and this much. A longer deadline than
+/// `DEADLINE_MOST` counts as that.
+const BEFORE_KILL: Duration = Duration::from_millis(700);
+const DEADLINE_MOST: Duration = Duration::from_secs(3);
+/// A client usually gives a try up after this share of its class's deadline at the latest.
+const TRY_SHARE: f64 = 0.6;
+/// How long before the kill the node is gone: for what is between it and its clients.
+const GONE_BEFORE: Duration = Duration::from_millis(50);
+/// How long before its end the last answer is given: for it to be written.
+const ANSWERED_BEFORE: Duration = Duration::from_millis(50);
+/// The node looks at the clock this often, to know since when at the latest a signal may have been waiting.
+const BEAT: Duration = Duration::from_millis(50);
+/// Lateness of those looks counts half after this long.
+const LATENESS_HALF: Duration = Duration::from_secs(5);
+
+/// How far the node is in stopping.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    Serving,
+    /// It serves as ever, and says that it is not ready for more clients.
+    Leaving,
+    /// It accepts no more, idle connections close, and what was taken is finished.
+    Closing,
+    /// No connection is left.
+    Gone,
+}
+
+/// The times of a stop, each no earlier than the one before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stop {
+    /// From here on it is [`Stage::Closing`].
+    pub close_at: Instant,
+    /// Whatever was taken has its final answer by then, however long its client would wait: nothing that is
+    /// read after it is sent on.
+    pub answer_by: Instant,
+    /// The end of the process.
+    pub gone_by: Instant,
+    /// The kill comes no sooner.
+    pub kill: Instant,
+}
+
+impl Stop {
+    /// `told`: no later than SIGTERM was sent. `noticed`: now. `lateness`: by how much the node may be late in
+    /// doing what is due. Clients keep the connections they have, and the front may have no other node ready
+    /// yet: while the slowest usual request would still be answered, they are better served here than sent away.
+    pub fn plan(told: Instant, noticed: Instant, lateness: Duration, longest_deadline: Duration) -> Self {
+        let deadline = longest_deadline.min(DEADLINE_MOST);
+        let kill = told + BEFORE_KILL + deadline;
+        let gone_by = kill.checked_sub(GONE_BEFORE + lateness).unwrap_or(kill).max(noticed);
+        let answer_by = gone_by.checked_sub(ANSWERED_BEFORE).unwrap_or(gone_by).max(noticed);
+        let spare = deadline.saturating_sub(longest_deadline.mul_f64(TRY_SHARE));
+        let serve = (BEFORE_KILL + spare).saturating_sub(GONE_BEFORE + ANSWERED_BEFORE);
+        Self { close_at: (noticed + serve).min(answer_by), answer_by, gone_by, kill }
+    }
+}
+
+/// When the node last looked at the clock, and how late it was. Where it has more to do than it gets processor
+/// time for, a signal waits as everything does: only what the look before the last one saw is older than it for
+/// sure, since the node asks the system for news between any two.
+pub struct Pulse {
+    last: Cell<Instant>,
+    before: Cell<Instant>,
+    late: Cell<Duration>,
+}
+
+impl Pulse {
+    /// One that looks now for the first time.
+    pub fn start() -> Self {
+        let now = Instant::now();
+        Self { last: Cell::new(now), before: Cell::new(now), late: Cell::default() }
+    }
+
+    /// Looks at the clock for as long as the node runs.
+    pub async fn beat(&self) {
+        loop {
+            let due = self.last.get() + BEAT;
+            sleep_until(due).await;
+            self.look(due, Instant::now());
+        }
+    }
+
+    fn look(&self, due: Instant, now: Instant) {
+        let since = now.saturating_duration_since(self.last.get());
+        let faded = self.late.get().mul_f64((-since.as_secs_f64() / LATENESS_HALF.as_secs_f64()).exp2());
+        self.late.set(faded.max(now.saturating_duration_since(due)));
+        self.before.set(self.last.replace(now));
+    }
+
+    /// No later than any signal that is noticed at this moment was sent.
+    pub fn before_signal(&self) -> Instant {
+        self.before.get()
+    }
+
+    /// How late the node was of late in doing what was due, at the most.
+    pub fn lateness(&self) -> Duration {
+        self.late.get()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const fn ms(n: u64) -> Duration {
+        Duration::from_millis(n)
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn every_stop_ends_before_the_kill_can_come() {
+        let told = Instant::now();
+        for deadline in [0, 1, 400, 1_000, 1_900, 3_000, 5_000, 60_000] {
+            for noticed in [0, 40, 700, 2_000, 10_000] {
+                for late in [0, 10, 300, 5_000] {
+                    let noticed = told + ms(noticed);
+                    let stop = Stop::plan(told, noticed, ms(late), ms(deadline));
+                    let kill = told + BEFORE_KILL + ms(deadline.min(3_000));
+                    assert_eq!(stop.kill, kill);
+                    assert!(noticed <= stop.close_at && stop.close_at <= stop.answer_by, "{stop:?}");
+                    assert!(stop.answer_by <= stop.gone_by, "{stop:?}");
+                    assert!(stop.gone_by + ms(late) < kill || stop.gone_by == noticed, "{stop:?}");
+                }
+            }
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_usual_stop_serves_on_as_long_as_usual_requests_can_be_answered() {
+        let told = Instant::now();
+        let stop = Stop::plan(told, told, Duration::ZERO, ms(1_900));
+        assert_eq!(stop.close_at - told, ms(1_360));
+        assert_eq!((stop.answer_by - told, stop.gone_by - told), (ms(2_500), ms(2_550)));
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_node_that_is_busy_takes_a_signal_for_as_old_as_it_may_be() {
+        let start = Instant::now();
+        let pulse = Pulse::start();
+        // Busy from 100 ms to 900 ms: the signal may have come at any time since.
+        for at in [50, 100, 900] {
+            pulse.look(pulse.last.get() + BEAT, start + ms(at));
+        }
+        assert_eq!(pulse.before_signal(), start + ms(100));
+        assert_eq!(pulse.lateness(), ms(750));
+        pulse.look(start + ms(5_900), start + ms(5_900));
+        assert_eq!(pulse.lateness(), ms(375));
+    }
+}
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,6 +1,7 @@
 //! The clients' side: reads requests, hands them to the driver, writes the answers, sees clients leave.
 
 use crate::net::driver::{Answer, Input, Taken};
+use crate::net::lifecycle::Stage;
 use crate::net::upstream::{Message, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -20,6 +21,7 @@
 use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{oneshot, watch, Notify, OwnedSemaphorePermit, Semaphore};
@@ -38,16 +40,6 @@
 /// After a failed accept (no descriptor left, say) the next one waits: tried at once, it would fail and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// How far the node is in stopping.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Stage {
-    Serving,
-    /// It serves as ever, and says that it is not ready for more clients.
-    Leaving,
-    /// It accepts no more, idle connections close, and what was taken is finished.
-    Closing,
-}
-
 /// What all connections of clients share.
 pub struct Front {
     /// The classes' names and aims.
@@ -57,6 +49,8 @@
     pub stage: watch::Receiver<Stage>,
     pub events: UnboundedSender<Input>,
     pub tickets: Cell<u64>,
+    /// When the last answer was given.
+    pub answered: Cell<Option<Instant>>,
     idle: Idle,
 }
 
@@ -146,6 +140,7 @@
             stage,
             events,
             tickets: Cell::new(0),
+            answered: Cell::default(),
             idle: Idle::default(),
         }
     }
@@ -156,7 +151,7 @@
 pub async fn serve(listener: TcpListener, front: Rc<Front>, most: usize) {
     let slots = Arc::new(Semaphore::new(most));
     let mut stage = front.stage.clone();
-    let mut closing = pin!(stage.wait_for(|stage| *stage == Stage::Closing));
+    let mut closing = pin!(stage.wait_for(|stage| *stage >= Stage::Closing));
     loop {
         let accepted = tokio::select! {
             // What the machine has accepted by then is taken: it comes before the end.
@@ -199,8 +194,8 @@
     Ok((stream, slot))
 }
 
-async fn connection(stream: TcpStream, front: Rc<Front>) {
-    let mut stage = front.stage.clone();
+async fn connection(stream: impl AsyncRead + AsyncWrite + Unpin + 'static, front: Rc<Front>) {
+    let (mut stage, mut end) = (front.stage.clone(), front.stage.clone());
     let place = Place::new(front.clone());
     let service = service_fn(async |request| {
         place.leave();
@@ -211,15 +206,24 @@
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
     let mut serving = pin!(http.serve_connection(TokioIo::new(stream), service));
+    let mut silence = pin!(place.silence());
+    let mut gone = pin!(end.wait_for(|stage| *stage == Stage::Gone));
     // An error here is a client that left or spoke no HTTP: hyper has answered what can be answered.
     tokio::select! {
         biased;
         _ = &mut serving => return,
-        () = place.silence() => return,
-        _ = stage.wait_for(|stage| *stage == Stage::Closing) => serving.as_mut().graceful_shutdown(),
+        () = &mut silence => return,
+        _ = stage.wait_for(|stage| *stage >= Stage::Closing) => serving.as_mut().graceful_shutdown(),
         () = place.close.notified() => serving.as_mut().graceful_shutdown(),
     }
-    let _ = serving.await;
+    // A first request that is half read has no end of its own: it gets the time that it had, and no more than
+    // the node has. What it brings later is never taken.
+    tokio::select! {
+        biased;
+        _ = &mut serving => {}
+        () = &mut silence => {}
+        _ = &mut gone => {}
+    }
 }
 
 /// Tells the driver of a client that left: hyper drops the answer's future with its connection.
@@ -240,7 +244,8 @@
 
 async fn respond(front: &Front, request: Request<Incoming>, whole_by: Instant) -> Reply {
     let mut response = answer(front, request, whole_by).await.unwrap_or_else(|rejected| rejected);
-    if *front.stage.borrow() == Stage::Closing {
+    front.answered.set(Some(Instant::now()));
+    if *front.stage.borrow() >= Stage::Closing {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -400,3 +405,45 @@
     *response.status_mut() = status;
     response
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt};
+    use tokio::sync::mpsc::unbounded_channel;
+    use tokio::task::{spawn_local, LocalSet};
+
+    const HALF: &[u8] = b"GET /api/1 HTTP/1.1\r\nReq-Id: 1\r\n";
+
+    // Guards against a connection whose half-read request keeps it, and the node, past its end: what completes it
+    // there would be taken and never answered.
+    #[tokio::test(start_paused = true)]
+    async fn a_half_read_request_has_no_longer_than_the_node() {
+        let ended_after = |closing, gone| async move {
+            let (stages, stage) = watch::channel(Stage::Serving);
+            let (events, _inputs) = unbounded_channel();
+            let front = Rc::new(Front::new(&Settings::default(), Rc::default(), stage, events));
+            let (mut client, stream) = duplex(1024);
+            let start = Instant::now();
+            let serving = spawn_local(async move {
+                connection(stream, front).await;
+                start.elapsed()
+            });
+            client.write_all(HALF).await.unwrap();
+            sleep_until(start + closing).await;
+            stages.send_replace(Stage::Closing);
+            sleep_until(start + gone).await;
+            stages.send_replace(Stage::Gone);
+            let ended = serving.await.unwrap();
+            assert_eq!(client.read(&mut [0; 1]).await.unwrap_or_default(), 0, "closed without a word");
+            ended
+        };
+        let ms = Duration::from_millis;
+        LocalSet::new()
+            .run_until(async {
+                assert_eq!(ended_after(ms(100), ms(900)).await, ms(900));
+                assert_eq!(ended_after(ms(100), ms(4_000)).await, WHOLE_REQUEST);
+            })
+            .await;
+    }
+}
--- a/tests/node_lifecycle.rs
+++ b/tests/node_lifecycle.rs
@@ -3,6 +3,9 @@
 mod node_common;
 
 use node_common::*;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::process::Command;
 use std::sync::{Arc, Condvar, Mutex};
 
 // Guards against a planned restart that loses what was taken.
@@ -58,6 +61,88 @@
     assert!(kept, "every answer of a leaving node asked its client to go");
 }
 
+/// A configuration whose clients may wait for ten minutes, at a server that says nothing, with a stop that takes
+/// under two seconds.
+fn quick_stop(discovery: SocketAddr) -> Value {
+    let mut config = config(discovery);
+    for lane in config["settings"]["lanes"].as_array_mut().unwrap() {
+        lane["hard_limit_us"] = 1_000_000.into();
+    }
+    config
+}
+
+const MINUTES: u64 = 600_000;
+
+// Guards against a kill that finds a request open: a client's own patience may be longer than the node's time.
+#[test]
+fn a_terminated_node_answers_all_it_took_before_its_own_time_is_up() {
+    let server = CacheServer::start(|_| Does::Nothing);
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let node = Node::ready(&quick_stop(discovery.address));
+    let (mut before, mut half) = (node.client(), node.client());
+    before.send(&read("once", 1, MINUTES));
+    half.send("PUT /api/2 HTTP/1.1\r\nHost: s\r\nReq-Id: 2\r\nReq-Kind: once\r\nContent-Length: 9\r\n");
+    wait_for("the first request", || server.count() == 1);
+    node.terminate();
+    // A second one changes nothing, and neither does a reload in between.
+    node.reload("{\"name\":");
+    node.terminate();
+    assert_eq!(before.answer().expect("an answer").status(), 502);
+    assert_eq!(half.answer(), None, "what never came whole was never taken");
+    assert!(node.exit().success());
+}
+
+// Guards against a node that waits for discovery before it goes, or that is stopped by what its reload moves.
+#[test]
+fn a_node_that_is_terminated_and_reloaded_with_discovery_silent_ends_well() {
+    let server = CacheServer::start(|_| Does::Nothing);
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut config = quick_stop(silent.local_addr().unwrap());
+    config["known"]["hosts"] = vec![server.entry("s-1", "ready")].into();
+    let node = Node::ready(&config);
+    let mut waiting = node.client();
+    waiting.send(&read("once", 1, MINUTES));
+    wait_for("the request", || server.count() == 1);
+    node.reload(&config.to_string());
+    node.terminate();
+    assert_eq!(waiting.answer().expect("an answer").status(), 502);
+    assert!(node.exit().success());
+}
+
+// Guards against a SIGTERM or SIGHUP that ends a node which has only just been started.
+#[test]
+fn signals_during_the_start_wait_for_it() {
+    let pipe = std::env::temp_dir().join(format!("walkpick-{}-start.fifo", std::process::id()));
+    let _ = std::fs::remove_file(&pipe);
+    assert!(Command::new("mkfifo").arg(&pipe).status().unwrap().success());
+    struct Killed(std::process::Child);
+    impl Drop for Killed {
+        fn drop(&mut self) {
+            // It has exited by itself where the test went well.
+            let _ = (self.0.kill(), self.0.wait());
+        }
+    }
+    let mut child = Killed(command().env("LB_CONFIG", &pipe).spawn().unwrap());
+    // It opens once the node reads it.
+    let mut writer = std::fs::OpenOptions::new().write(true).open(&pipe).unwrap();
+    for signal in ["-HUP", "-TERM"] {
+        assert!(Command::new("kill").args([signal, &child.0.id().to_string()]).status().unwrap().success());
+    }
+    let text = quick_stop("127.0.0.1:1".parse().unwrap()).to_string();
+    // The reload reads the file as well: an ordinary one by then.
+    std::fs::remove_file(&pipe).unwrap();
+    std::fs::write(&pipe, &text).unwrap();
+    std::io::Write::write_all(&mut writer, text.as_bytes()).unwrap();
+    drop(writer);
+    let mut status = None;
+    wait_for("the node's exit", || {
+        status = child.0.try_wait().unwrap();
+        status.is_some()
+    });
+    std::fs::remove_file(&pipe).unwrap();
+    assert!(status.unwrap().success(), "{status:?}");
+}
+
 // Guards against clients that sit idle and keep a node from its end.
 #[test]
 fn a_terminated_node_does_not_wait_for_idle_clients() {
