Lay the decision module out by concern, beside its old text, and compare their actions

Need: src/balance.rs holds every concern in one file, and the parts that come (zones, shared state) need a place.

Change: src/policy/ has one file a concern: breaker, zones, servers, admission, origin, retries, placement, hash, and a request's way through them in requests.rs; the Balancer in mod.rs stays the one way in. The bookkeeping of an ended attempt, of the pace of a kind and of what admission refuses are functions of their own now; the sums are the old ones, in the old order. tests/same_actions.rs drives both texts through generated worlds (1 to 300 nodes, 4 to 150 servers, both cache modes, zones lost, drains, restarts, lists late, clients that leave).

The node still runs the old text.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod api;
 pub mod balance;
+pub mod policy;
 pub mod wire;
 
 pub use api::*;
--- /dev/null
+++ b/src/policy/servers.rs
@@ -0,0 +1,193 @@
+//! The servers as discovery lists them: their capacity, warmth and pace, and their breakers' verdicts.
+
+use super::breaker::{Breaker, State, COMMON_RATE, COOLDOWN, MIN_CALLS};
+use super::hash::{hash_text, mix, unit};
+use super::zones::Zone;
+use super::Balancer;
+use crate::api::{Action, Availability, CacheMode, Name, ServerEntry, Timestamp};
+use std::time::Duration;
+
+/// Answers over which the pace of a kind of server is averaged, and how many at par it starts with.
+const PACE_SPAN: f64 = 200.0;
+const PACE_PRIOR: f64 = 10.0;
+/// Time over which weights that change with load are averaged, the most of it that a single list stands for,
+/// and what a weight counts at least, as a part of the largest.
+const WEIGHT_SPAN: Duration = Duration::from_secs(4);
+const WEIGHT_STEP: Duration = Duration::from_secs(1);
+const WEIGHT_LEAST: f64 = 0.01;
+
+#[derive(Debug)]
+pub(super) struct Server {
+    pub(super) entry: ServerEntry,
+    /// What its weight is cut by, the requests that it holds: the inverse of the weight, over `WEIGHT_SPAN`.
+    pub(super) load: f64,
+    pub(super) kind: usize,
+    pub(super) zone: usize,
+    pub(super) hash: u64,
+    pub(super) breaker: Breaker,
+    /// The sends that it may get from here while it is cold.
+    pub(super) room: f64,
+    pub(super) in_flight: u32,
+    pub(super) limit: f64,
+    /// When an answer last changed it.
+    pub(super) limited: Timestamp,
+    /// Its last report told of room: what takes long there is the work itself.
+    pub(super) calm: bool,
+    /// When it was last sent to, and how long after the send before.
+    pub(super) sent: Timestamp,
+    pub(super) gap: Duration,
+}
+
+/// What answers of a kind of server take against their forecast work: a logarithm, so that no few decide.
+#[derive(Debug)]
+pub(super) struct Kind {
+    pub(super) name: Option<Name>,
+    pub(super) pace: f64,
+    pub(super) answers: f64,
+}
+
+impl Kind {
+    /// Takes in an answer that took so many times what was forecast.
+    pub(super) fn note(&mut self, ratio: f64) {
+        self.answers = (self.answers + 1.0).min(PACE_SPAN);
+        self.pace += (ratio.max(1e-3).ln() - self.pace) / self.answers;
+    }
+}
+
+impl Balancer {
+    pub(super) fn learn(&mut self, now: Timestamp, entries: &[ServerEntry], full: bool) {
+        let newest = match self.settings.sized {
+            true => 1.0,
+            false => {
+                1.0 - (-now.since(self.listed).min(WEIGHT_STEP).as_secs_f64() / WEIGHT_SPAN.as_secs_f64())
+                    .exp()
+            }
+        };
+        self.listed = now;
+        if full {
+            self.servers.retain(|server| entries.iter().any(|entry| entry.id == server.entry.id));
+        }
+        for entry in entries {
+            let place = self.servers.binary_search_by(|server| server.entry.id.cmp(&entry.id));
+            match place {
+                Ok(i) if entry.availability == Availability::Gone => {
+                    self.servers.remove(i);
+                }
+                Ok(i) => {
+                    if entry.started != self.servers[i].entry.started {
+                        self.servers[i].breaker.enter(State::Closed, now);
+                        self.servers[i].room = unit(mix(self.seed ^ self.servers[i].hash));
+                        let zone = &mut self.zones[self.servers[i].zone];
+                        (zone.shut, zone.calls) = (false, 0);
+                    }
+                    self.servers[i].entry = entry.clone();
+                }
+                Err(_) if entry.availability == Availability::Gone => {}
+                Err(i) => {
+                    let hash = mix(hash_text(entry.id.as_str()));
+                    let kind = self.kinds.iter().position(|kind| kind.name == entry.kind);
+                    let kind = kind.unwrap_or_else(|| {
+                        self.kinds.push(Kind { name: entry.kind.clone(), pace: 0.0, answers: PACE_PRIOR });
+                        self.kinds.len() - 1
+                    });
+                    // The origin fares otherwise than the cache servers beside it.
+                    let name = entry.zone.clone().filter(|_| !self.is_origin(entry));
+                    let zone = self.zones.iter().position(|zone| zone.name == name);
+                    let zone = zone.unwrap_or_else(|| {
+                        let heard = now;
+                        self.zones.push(Zone {
+                            name,
+                            calls: 0,
+                            failing: 0.0,
+                            heard,
+                            shut: false,
+                            tried: heard,
+                        });
+                        self.zones.len() - 1
+                    });
+                    let (entry, breaker, gap) = (entry.clone(), Breaker::new(now), Duration::MAX);
+                    let (in_flight, limit, calm, sent) = (0, self.limit_start, false, now);
+                    // Not a whole send: many nodes would use it at once.
+                    let room = unit(mix(self.seed ^ hash));
+                    let limited = now;
+                    let load = 0.0;
+                    let fresh = Server {
+                        entry,
+                        load,
+                        kind,
+                        zone,
+                        hash,
+                        breaker,
+                        room,
+                        in_flight,
+                        limit,
+                        limited,
+                        calm,
+                        sent,
+                        gap,
+                    };
+                    self.servers.insert(i, fresh);
+                }
+            }
+        }
+        // A live weight shows the few requests held at one moment. All nodes are told the same: taken as it
+        // comes, each list moves keys to and fro at all of them in step, and each move is a miss.
+        let largest = self.servers.iter().map(|server| server.entry.weight).fold(f64::MIN_POSITIVE, f64::max);
+        for server in &mut self.servers {
+            let told = 1.0 / server.entry.weight.max(largest * WEIGHT_LEAST);
+            server.load += (told - server.load) * if server.load > 0.0 { newest } else { 1.0 };
+        }
+    }
+
+    pub(super) fn is_origin(&self, entry: &ServerEntry) -> bool {
+        let CacheMode::Aside { origin_kind } = &self.settings.mode else { return false };
+        entry.kind.as_ref() == Some(origin_kind)
+    }
+
+    pub(super) fn warmth(&self, entry: &ServerEntry, now: Timestamp) -> f64 {
+        let warm = self.settings.warm_within.as_secs_f64().max(1e-6);
+        let age = entry.started.map_or(warm, |at| now.since(at).as_secs_f64());
+        let cold = self.settings.cold_share;
+        (cold + (1.0 - cold) * age / warm).min(1.0)
+    }
+
+    pub(super) fn capacity(&self, server: &Server, now: Timestamp) -> f64 {
+        let speed = if self.settings.sized { 1.0 } else { (-self.kinds[server.kind].pace).exp() };
+        (speed / server.load * self.warmth(&server.entry, now)).max(1e-9)
+    }
+
+    pub(super) fn is_cold(&self, server: &Server, now: Timestamp) -> bool {
+        !self.is_origin(&server.entry) && self.warmth(&server.entry, now) < 1.0
+    }
+
+    pub(super) fn in_use(&self, server: &Server) -> bool {
+        server.entry.availability == Availability::Ready && !self.is_origin(&server.entry)
+    }
+
+    /// Many servers failing together have a common cause: ejecting them would push their keys onto the rest.
+    pub(super) fn is_outlier(&self, i: usize, now: Timestamp) -> bool {
+        let others = self.servers.iter().filter(|other| other.hash != self.servers[i].hash);
+        let recent = others.map(|other| &other.breaker).filter(|breaker| now < breaker.window_ends);
+        let (calls, failed) = recent.fold((0, 0), |(c, f), b| (c + b.calls, f + b.failures));
+        calls < MIN_CALLS || f64::from(failed) < COMMON_RATE * f64::from(calls)
+    }
+
+    /// Counts an outcome for the server's breaker and opens it where it trips.
+    pub(super) fn judge(
+        &mut self,
+        i: usize,
+        epoch: u32,
+        ok: Option<bool>,
+        now: Timestamp,
+        actions: &mut Vec<Action>,
+    ) {
+        let z = self.servers[i].zone;
+        let apart = self.apart(z, now);
+        let others = self.zones[z].rate(now).filter(|rate| apart || *rate < COMMON_RATE);
+        let tripped = self.servers[i].breaker.on_outcome(epoch, ok, others, now);
+        if tripped && (apart || self.is_outlier(i, now)) {
+            self.servers[i].breaker.enter(State::Open { until: now + COOLDOWN }, now);
+            actions.push(Action::Log(format!("breaker of {} tripped", self.servers[i].entry.id)));
+        }
+    }
+}
