Run the decision module from src/policy/ and drop its old text

Need: one text of the decisions.

What stands for settings that nobody tells (how many connections and requests at once a server takes, up to how many nodes each meets a server often) is named as such in src/policy/deployment.rs.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,9 +2,8 @@
 #![forbid(unsafe_code)]
 
 pub mod api;
-pub mod balance;
 pub mod policy;
 pub mod wire;
 
 pub use api::*;
-pub use balance::Balancer;
+pub use policy::Balancer;
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -11,11 +11,7 @@
 /// An answer is late past this share of its aim, from a server at least this busy.
 pub(super) const AIM_SHARE: f64 = 0.7;
 pub(super) const BUSY: f64 = 0.8;
-/// Up to so many nodes, each meets a server often enough for the queue that it reports to be worth heeding.
-pub(super) const FEW_NODES: u32 = 100;
-/// In-flight limit: its start for all nodes together, its least, its steps for answers in time and late, and
-/// for those late with no queue.
-pub(super) const LIMIT_START: f64 = 16.0;
+/// In-flight limit: its least, its steps for answers in time and late, and for those late with no queue.
 const LIMIT_LEAST: f64 = 0.05;
 const LIMIT_UP: f64 = 0.1;
 const LIMIT_DOWN: f64 = 1.0;
@@ -103,8 +99,8 @@
         }
     }
 
-    /// Whether this request is more than the fleet can still serve in time: one that is jammed as a whole drains
-    /// only if most is refused before it is sent.
+    /// Whether this request is more than the fleet can still serve in time: one that is jammed as a whole
+    /// drains only if most is refused before it is sent.
     pub(super) fn refuses(&mut self, luck: f64) -> bool {
         let good = self.good + ADMIT_PRIOR;
         let excess = luck * (good + self.bad) > good * ADMIT;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod breaker;
+mod deployment;
 mod hash;
 mod origin;
 mod placement;
@@ -11,8 +12,9 @@
 mod zones;
 
 use crate::api::*;
-use admission::{LIMIT_START, RATE_AIMS};
+use admission::RATE_AIMS;
 use breaker::Breaker;
+use deployment::SERVER_SLOTS;
 use hash::{key_of, mix, unit};
 use placement::Key;
 use requests::{Attempt, Held};
@@ -64,7 +66,7 @@
 impl Balancer {
     /// A balancer that knows no server yet. `seed` should differ between nodes.
     pub fn new(mut settings: Settings, seed: u64) -> Self {
-        let limit_start = (LIMIT_START / f64::from(settings.nodes.max(1))).max(1.0);
+        let limit_start = (SERVER_SLOTS / f64::from(settings.nodes.max(1))).max(1.0);
         let quickest = settings.classes.iter().map(|class| class.aim).min().unwrap_or_default();
         let rate_span = (quickest * RATE_AIMS).max(Duration::from_millis(1));
         // The last class is for requests of none: the most careful one.
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -1,15 +1,14 @@
 //! A request's way through the module: taken, sent, judged by each outcome, ended once.
 
-use super::admission::{Signs, AIM_SHARE, BUSY, FEW_NODES};
+use super::admission::{Signs, AIM_SHARE, BUSY};
 use super::breaker::State;
+use super::deployment::{NODES_MEETING_OFTEN, SERVER_CONNECTIONS};
 use super::hash::key_of;
 use super::retries::{RETRY_SAVED, RETRY_SHARE};
 use super::Balancer;
 use crate::api::*;
 use std::time::Duration;
 
-/// Idle connections that all nodes together may keep to a server: well under the table of the smallest one.
-const KEPT_OPEN: f64 = 1000.0;
 /// A request that is held for want of room tries again at such steps of its aim.
 const HOLD_STEP: f64 = 0.1;
 /// A refused client is told to come back after such a part of its aim.
@@ -96,7 +95,7 @@
         let spare = outcome.load.busy.is_some_and(|busy| busy < BUSY);
         // Where nobody waits it is most often the work itself that takes long. One of many nodes cannot tell:
         // it meets the server so seldom that the report is older than the bursts of the others.
-        let few = self.settings.nodes <= FEW_NODES;
+        let few = self.settings.nodes <= NODES_MEETING_OFTEN;
         let unqueued = few && outcome.load.waiting.is_some_and(|waiting| waiting < 1.0);
         if outcome.status == Status::Ok {
             let slot = self.class_slot(&held.request);
@@ -115,7 +114,7 @@
             server.in_flight = server.in_flight.saturating_sub(1);
             // A handshake costs the server work, an idle connection only its place. Where the connections of
             // all nodes would fill its table, one that is used too seldom gives its place up.
-            let part = KEPT_OPEN / f64::from(self.settings.nodes.max(1));
+            let part = SERVER_CONNECTIONS / f64::from(self.settings.nodes.max(1));
             if server.in_flight == 0 && part < 1.0 && server.gap > self.settings.keepalive.mul_f64(part) {
                 actions.push(Action::Close { server: server.entry.id.clone() });
             }
