Let the driver depend on its sources: clients and discovery know nothing of it

Need: discovery.rs and driver.rs imported each other, and server.rs imported the driver's types.

Change: each source defines what it brings (clients: Word, Taken, Answer; discovery: News) and is given where to tell it; the driver's Input is made of them. Imports go one way: driver to discovery, server and upstream.

--- a/src/main.rs
+++ b/src/main.rs
@@ -66,11 +66,15 @@
     let (moves, discovery) = watch::channel(discovery);
     let (follow, ready) = (Rc::new(Notify::new()), Rc::default());
     let upstream = Rc::new(Upstream::new(most, settings.connect_timeout, settings.keepalive));
-    let front = Rc::new(Front::new(&settings, Rc::clone(&ready), stage, events.clone()));
+    // The driver only goes when the node does: nothing is lost by what it is told after that.
+    let (sender, news) = (events.clone(), events.clone());
+    let tell = Rc::new(move |word| drop(sender.send(Input::Client(word))));
+    let front = Rc::new(Front::new(&settings, Rc::clone(&ready), stage, tell));
     let longest_deadline = settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
     let seq = (!known.hosts.is_empty()).then_some(known.seq);
     let random = fastrand::Rng::with_seed(seed);
-    let watching = Discovery { address: discovery, seq, random, events: events.clone() };
+    let tell = move |told| news.send(Input::Discovery(told)).is_ok();
+    let watching = Discovery { address: discovery, seq, random, tell };
 
     spawn_local(upstream.clone().sweep());
     spawn_local(watching.run(follow.clone()));
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,6 +1,5 @@
 //! The list of cache servers: discovery's words as the module's, the watch on changes, backoff.
 
-use crate::net::driver::Input;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -14,7 +13,6 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{watch, Notify};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
@@ -131,17 +129,24 @@
     }
 }
 
-/// The client of discovery.
-pub struct Discovery {
+/// What a call of discovery came to.
+#[derive(Debug)]
+pub enum News {
+    Listing(Listing),
+    Failed,
+}
+
+/// The client of discovery. `tell` hands on its news; it says `false` where nobody takes them any more.
+pub struct Discovery<Tell> {
     /// Where it listens: a reload of the configuration moves it.
     pub address: watch::Receiver<SocketAddr>,
     /// Version of the list held; `None` where none is.
     pub seq: Option<u64>,
     pub random: fastrand::Rng,
-    pub events: UnboundedSender<Input>,
+    pub tell: Tell,
 }
 
-impl Discovery {
+impl<Tell: Fn(News) -> bool> Discovery<Tell> {
     /// Watches once it is told to, at whichever address holds, for as long as the node runs.
     pub async fn run(mut self, follow: Rc<Notify>) {
         let mut moves = self.address.clone();
@@ -173,7 +178,7 @@
                 Ok(listing) => {
                     failures = 0;
                     self.seq = Some(listing.seq);
-                    if self.events.send(Input::Listing(listing)).is_err() {
+                    if !(self.tell)(News::Listing(listing)) {
                         return;
                     }
                 }
@@ -181,7 +186,7 @@
                     eprintln!("discovery: {error}");
                     failures += 1;
                     link = None;
-                    if self.events.send(Input::ListingFailed).is_err() {
+                    if !(self.tell)(News::Failed) {
                         return;
                     }
                     follow.notified().await;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,9 +1,9 @@
 //! Drives the module: the only owner of the `Balancer` and of what is open. Events come in by channel and the
 //! module's actions are carried out in order; nothing is picked, repeated or refused here.
 
-use crate::net::discovery::Listing;
+use crate::net::discovery::{Listing, News};
+use crate::net::server::{Answer, Taken, Word};
 use crate::net::upstream::{Ended, Message, Upstream};
-use bytes::Bytes;
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -16,8 +16,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, Instant};
 use walkpick::{
-    Action, Availability, Balancer, ClassId, Event, Name, Note, Outcome, Request, RequestId, ServerEntry,
-    ServerId, ServerList, Status, TenantId, Timestamp,
+    Action, Availability, Balancer, Event, Name, Note, Outcome, Request, RequestId, ServerEntry, ServerId,
+    ServerList, Status, Timestamp,
 };
 
 /// Taken off a client's time: it counts from when the client sent, and the answer has its way back to go.
@@ -25,51 +25,16 @@
 /// How long past a request's time, less the margin, the module has for its own answer.
 const GUARD: Duration = Duration::from_millis(4);
 
-/// A client's request, read whole.
-#[derive(Debug)]
-pub struct Taken {
-    /// A number that is never used twice: a client's own id might come again.
-    pub ticket: u64,
-    pub at: Instant,
-    /// How long the client waits.
-    pub patience: Duration,
-    pub class: ClassId,
-    /// The class's name, and within which time its answers are worth most.
-    pub kind: Name,
-    pub aim: Duration,
-    pub tenant: Option<TenantId>,
-    pub key: Option<u64>,
-    pub expected_work: Option<Duration>,
-    pub write: bool,
-    pub client_retry: bool,
-    pub message: Message,
-    pub answer: oneshot::Sender<Answer>,
-}
-
-/// The final answer to a request.
-#[derive(Debug)]
-pub enum Answer {
-    /// The body of the cache server's answer.
-    Served(Bytes),
-    /// Not done and safe to ask again.
-    Refused { retry_after: Duration },
-    /// Not done, or not known.
-    Failed,
-}
-
 /// What the node's other parts tell the driver.
 #[derive(Debug)]
 pub enum Input {
-    Taken(Box<Taken>),
-    /// The client of this ticket has gone.
-    Left(u64),
+    Client(Word),
+    Discovery(News),
     Ended {
         id: RequestId,
         attempt: u32,
         ended: Ended,
     },
-    Listing(Listing),
-    ListingFailed,
     /// The node stops: every answer is due by then.
     Stopping {
         answer_by: Instant,
@@ -194,8 +159,8 @@
 
     fn take(&mut self, input: Input) {
         match input {
-            Input::Taken(taken) => self.request(*taken),
-            Input::Left(ticket) => {
+            Input::Client(Word::Taken(taken)) => self.request(*taken),
+            Input::Client(Word::Left(ticket)) => {
                 let id = request_id(ticket);
                 if let Some(open) = self.open.get_mut(&id).filter(|open| open.answer.is_some()) {
                     open.answer = None;
@@ -205,14 +170,14 @@
                 }
             }
             Input::Ended { id, attempt, ended } => self.ended(id, attempt, ended),
-            Input::Listing(listing) => {
+            Input::Discovery(News::Listing(listing)) => {
                 let entries = self.learn(&listing);
                 let list =
                     if listing.whole { ServerList::Full(entries) } else { ServerList::Changes(entries) };
                 self.due.push_back(Event::Servers(list));
             }
             Input::Stopping { answer_by } => self.stop(answer_by),
-            Input::ListingFailed => self.due.push_back(Event::Servers(ServerList::Unavailable)),
+            Input::Discovery(News::Failed) => self.due.push_back(Event::Servers(ServerList::Unavailable)),
         }
     }
 
@@ -445,6 +410,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use bytes::Bytes;
     use hyper::header::HeaderValue;
     use hyper::Method;
     use serde_json::json;
@@ -452,7 +418,7 @@
     use tokio::sync::mpsc::{unbounded_channel, UnboundedSender};
     use tokio::sync::oneshot::Receiver;
     use tokio::task::LocalSet;
-    use walkpick::{Class, Effect, LoadReport, Settings};
+    use walkpick::{Class, ClassId, Effect, LoadReport, Settings};
 
     /// A driver whose cache servers take connections and say nothing: what attempts come to is made up.
     struct Rig {
@@ -493,7 +459,7 @@
                 idempotency_key: None,
                 body: Bytes::new(),
             };
-            self.driver.take(Input::Taken(Box::new(Taken {
+            self.driver.take(Input::Client(Word::Taken(Box::new(Taken {
                 ticket: self.tickets,
                 at: Instant::now(),
                 patience: LONG,
@@ -507,7 +473,7 @@
                 client_retry: false,
                 message,
                 answer,
-            })));
+            }))));
             self.driver.handle_due();
             (request_id(self.tickets), receiver)
         }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,6 +1,5 @@
 //! The clients' side: reads requests, hands them to the driver, writes the answers, sees clients leave.
 
-use crate::net::driver::{Answer, Input, Taken};
 use crate::net::lifecycle::Stage;
 use crate::net::upstream::{Message, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
 use bytes::Bytes;
@@ -23,7 +22,6 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{oneshot, watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 use walkpick::{ClassId, Name, Settings, TenantId};
@@ -40,6 +38,49 @@
 /// After a failed accept (no descriptor left, say) the next one waits: tried at once, it would fail and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// A client's request, read whole.
+#[derive(Debug)]
+pub struct Taken {
+    /// A number that is never used twice: a client's own id might come again.
+    pub ticket: u64,
+    pub at: Instant,
+    /// How long the client waits.
+    pub patience: Duration,
+    pub class: ClassId,
+    /// The class's name, and within which time its answers are worth most.
+    pub kind: Name,
+    pub aim: Duration,
+    pub tenant: Option<TenantId>,
+    pub key: Option<u64>,
+    pub expected_work: Option<Duration>,
+    pub write: bool,
+    pub client_retry: bool,
+    pub message: Message,
+    pub answer: oneshot::Sender<Answer>,
+}
+
+/// The final answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// The body of the cache server's answer.
+    Served(Bytes),
+    /// Not done and safe to ask again.
+    Refused { retry_after: Duration },
+    /// Not done, or not known.
+    Failed,
+}
+
+/// What clients bring.
+#[derive(Debug)]
+pub enum Word {
+    Taken(Box<Taken>),
+    /// The client of this ticket has gone.
+    Left(u64),
+}
+
+/// Where it goes.
+pub type Tell = Rc<dyn Fn(Word)>;
+
 /// What all connections of clients share.
 pub struct Front {
     /// The classes' names and aims.
@@ -47,7 +88,7 @@
     pub tenants: Vec<Name>,
     pub ready: Rc<Cell<bool>>,
     pub stage: watch::Receiver<Stage>,
-    pub events: UnboundedSender<Input>,
+    pub tell: Tell,
     pub tickets: Cell<u64>,
     /// When the last answer was given.
     pub answered: Cell<Option<Instant>>,
@@ -131,14 +172,14 @@
         settings: &Settings,
         ready: Rc<Cell<bool>>,
         stage: watch::Receiver<Stage>,
-        events: UnboundedSender<Input>,
+        tell: Tell,
     ) -> Self {
         Self {
             classes: settings.classes.iter().map(|class| (class.name.clone(), class.aim)).collect(),
             tenants: settings.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
             ready,
             stage,
-            events,
+            tell,
             tickets: Cell::new(0),
             answered: Cell::default(),
             idle: Idle::default(),
@@ -229,15 +270,14 @@
 /// Tells the driver of a client that left: hyper drops the answer's future with its connection.
 struct Waiting {
     ticket: u64,
-    events: UnboundedSender<Input>,
+    tell: Tell,
     answered: bool,
 }
 
 impl Drop for Waiting {
     fn drop(&mut self) {
         if !self.answered {
-            // The driver only goes when the node does.
-            let _ = self.events.send(Input::Left(self.ticket));
+            (self.tell)(Word::Left(self.ticket));
         }
     }
 }
@@ -376,9 +416,9 @@
         message: Message { method, target, id: asked.id, idempotency_key: asked.idempotency_key, body },
         answer: sender,
     };
-    let mut waiting = Waiting { ticket, events: front.events.clone(), answered: false };
-    // The driver only goes when the node does; its silence is a failure all the same.
-    let _ = front.events.send(Input::Taken(Box::new(taken)));
+    let mut waiting = Waiting { ticket, tell: front.tell.clone(), answered: false };
+    (front.tell)(Word::Taken(Box::new(taken)));
+    // Whoever answers only goes when the node does; its silence is a failure all the same.
     let answer = receiver.await.unwrap_or(Answer::Failed);
     waiting.answered = true;
     match answer {
@@ -410,7 +450,6 @@
 mod tests {
     use super::*;
     use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt};
-    use tokio::sync::mpsc::unbounded_channel;
     use tokio::task::{spawn_local, LocalSet};
 
     const HALF: &[u8] = b"GET /api/1 HTTP/1.1\r\nReq-Id: 1\r\n";
@@ -421,8 +460,7 @@
     async fn a_half_read_request_has_no_longer_than_the_node() {
         let ended_after = |closing, gone| async move {
             let (stages, stage) = watch::channel(Stage::Serving);
-            let (events, _inputs) = unbounded_channel();
-            let front = Rc::new(Front::new(&Settings::default(), Rc::default(), stage, events));
+            let front = Rc::new(Front::new(&Settings::default(), Rc::default(), stage, Rc::new(|_| {})));
             let (mut client, stream) = duplex(1024);
             let start = Instant::now();
             let serving = spawn_local(async move {
