Give the node a command line, a section of its own in the configuration, and a structured log

Need: parts that come need a place to be turned on, operators need to know what is wrong with a file before a node starts on it, and lines on standard error had no level, no subsystem and no bound.

Change: clap commands 'node' (also with none) and 'check-config FILE|--options [--json]'. LB_CONFIG is read with all faults at once, each with its JSON path, what was found and what was expected; the node and check-config end with 2. The optional section 'walkpick' is declared once, value by value; tests hold docs/configuration.md and the types against that. Its first part is 'log': tracing with text or JSON lines, levels by subsystem, a span for each request at debug, and like lines held to a number within a window, what is left out being counted and told. Lists taken in are logged. The platform's part is read as before; names the platform adds are passed over.

Of 1,000 like lines 3 are written and 997 told. The cost of the log is measured next.

--- /dev/null
+++ b/src/check.rs
@@ -0,0 +1,202 @@
+//! `walkpick check-config`: what a node would do with a configuration, or all that is wrong with it.
+
+use crate::net::config::fault::{ConfigError, Fault};
+use crate::net::config::section::{Log, ITEMS};
+use crate::net::config::{self, Config};
+use crate::net::lifecycle::Stop;
+use clap::Args;
+use humantime::format_duration;
+use serde::Serialize;
+use serde_json::json;
+use std::io::{self, Write};
+use std::path::PathBuf;
+use std::time::Duration;
+use tokio::time::Instant;
+use walkpick::{Class, Effect};
+
+/// Times past this are taken for a slip of the unit.
+const ABSURD: Duration = Duration::from_secs(24 * 3600);
+
+#[derive(Debug, Args)]
+pub struct CheckConfig {
+    /// The configuration, as LB_CONFIG would name it
+    #[arg(required_unless_present = "options")]
+    file: Option<PathBuf>,
+    /// List every value of the section `walkpick`, with what may stand there and its default
+    #[arg(long, conflicts_with = "file")]
+    options: bool,
+    /// Write JSON
+    #[arg(long)]
+    json: bool,
+}
+
+/// What a node would do.
+#[derive(Debug, Serialize)]
+struct Plan {
+    name: String,
+    listen: String,
+    discovery: String,
+    /// Connections that it keeps to clients, and as many to cache servers.
+    connections: usize,
+    known_servers: usize,
+    nodes: u32,
+    zone: Option<String>,
+    classes: Vec<ClassPlan>,
+    /// After SIGTERM.
+    stop: StopPlan,
+    log: Log,
+    /// What can be done, and was probably not meant.
+    remarks: Vec<String>,
+}
+
+#[derive(Debug, Serialize)]
+struct ClassPlan {
+    name: String,
+    effect: String,
+    aim: String,
+    deadline: String,
+}
+
+#[derive(Debug, Serialize)]
+struct StopPlan {
+    closes: String,
+    all_answered: String,
+    gone: String,
+}
+
+impl CheckConfig {
+    /// Writes what it finds. `false` where the configuration is at fault.
+    pub fn run(self) -> io::Result<bool> {
+        let mut out = io::stdout().lock();
+        let Some(file) = self.file else {
+            return options(self.json, &mut out).map(|()| true);
+        };
+        // The environment here is not the node's.
+        match config::load(&file, |_| None) {
+            Ok(config) => {
+                let plan = Plan::of(&config);
+                match self.json {
+                    true => writeln!(out, "{:#}", json!({"file": file, "ok": true, "plan": plan}))?,
+                    false => write!(out, "{}", plan.text(&file.display().to_string()))?,
+                }
+                Ok(true)
+            }
+            Err(error) => {
+                if self.json {
+                    let faults = json!({"file": file, "ok": false, "faults": faults(&error)});
+                    writeln!(out, "{faults:#}")?;
+                } else {
+                    writeln!(io::stderr(), "{error}")?;
+                }
+                Ok(false)
+            }
+        }
+    }
+}
+
+fn faults(error: &ConfigError) -> Vec<serde_json::Value> {
+    let shown =
+        |fault: &Fault| json!({"place": fault.place, "found": fault.found, "expected": fault.expected});
+    match error {
+        ConfigError::Faulty { faults, .. } => faults.iter().map(shown).collect(),
+        other => vec![shown(&Fault::new("the file", other.to_string(), "a file that can be read"))],
+    }
+}
+
+fn options(as_json: bool, out: &mut impl Write) -> io::Result<()> {
+    let rows = ITEMS.iter().map(|item| (format!("walkpick.{}", item.path), item));
+    if as_json {
+        let row = |(path, item): (String, &config::section::Item)| json!({"path": path, "expected": item.kind.expected(), "default": item.default, "about": item.about});
+        return writeln!(out, "{:#}", serde_json::Value::Array(rows.map(row).collect()));
+    }
+    for (path, item) in rows {
+        writeln!(out, "{path} = {}\n    {}\n    {}", item.default, item.kind.expected(), item.about)?;
+    }
+    Ok(())
+}
+
+impl Plan {
+    fn of(config: &Config) -> Self {
+        let settings = &config.settings;
+        let class = |class: &Class| ClassPlan {
+            name: class.name.to_string(),
+            effect: effect(class.effect),
+            aim: format_duration(class.aim).to_string(),
+            deadline: format_duration(class.deadline).to_string(),
+        };
+        let told = Instant::now();
+        let stop = Stop::plan(told, told, Duration::ZERO, config.longest_deadline());
+        let after = |at: Instant| format_duration(at - told).to_string();
+        Self {
+            name: config.name.clone(),
+            listen: config.listen.to_string(),
+            discovery: config.discovery.to_string(),
+            connections: config.connections(),
+            known_servers: config.known.hosts.len(),
+            nodes: settings.nodes,
+            zone: settings.zone.as_ref().map(ToString::to_string),
+            classes: settings.classes.iter().map(class).collect(),
+            stop: StopPlan {
+                closes: after(stop.close_at),
+                all_answered: after(stop.answer_by),
+                gone: after(stop.gone_by),
+            },
+            log: config.section.log.clone(),
+            remarks: remarks(config),
+        }
+    }
+
+    fn text(&self, file: &str) -> String {
+        let zone = self.zone.as_deref().unwrap_or("no zone");
+        let StopPlan { closes, all_answered, gone } = &self.stop;
+        let log = serde_json::to_string(&self.log).unwrap_or_default();
+        let mut text = format!(
+            "{file}: a node can run on this\n\
+             name       {}, one of {} in {zone}\n\
+             listens    {}, up to {} connections of clients and as many to cache servers\n\
+             discovery  {}, {} cache servers known at the start\n\
+             stop       closes {closes} after SIGTERM, all answered after {all_answered}, gone after {gone}\n\
+             log        {log}\n",
+            self.name, self.nodes, self.listen, self.connections, self.discovery, self.known_servers,
+        );
+        for ClassPlan { name, effect, aim, deadline } in &self.classes {
+            text += &format!("class      {name}: {effect}, wanted within {aim}, deadline {deadline}\n");
+        }
+        for remark in &self.remarks {
+            text += &format!("remark     {remark}\n");
+        }
+        text
+    }
+}
+
+fn effect(effect: Effect) -> String {
+    match effect {
+        Effect::Safe => "safe to repeat".to_owned(),
+        Effect::Unsafe => "never runs twice".to_owned(),
+        Effect::Keyed { window, .. } => format!("repeats are dropped for {}", format_duration(window)),
+    }
+}
+
+fn remarks(config: &Config) -> Vec<String> {
+    let mut remarks = Vec::new();
+    let settings = &config.settings;
+    if settings.classes.is_empty() {
+        remarks.push("settings.lanes names no class: every request is answered with 400".to_owned());
+    }
+    for (i, class) in settings.classes.iter().enumerate() {
+        if class.aim > class.deadline {
+            remarks.push(format!("settings.lanes.{i}: answers are wanted after the deadline only"));
+        }
+    }
+    let lanes = settings.classes.iter().enumerate();
+    let lanes = lanes.map(|(i, class)| (format!("settings.lanes.{i}.hard_limit_us"), class.deadline));
+    let limits = [
+        ("settings.limits.connect_timeout_us".to_owned(), settings.connect_timeout),
+        ("settings.limits.keepalive_us".to_owned(), settings.keepalive),
+        ("settings.safety.warm_within_us".to_owned(), settings.warm_within),
+    ];
+    for (place, time) in lanes.chain(limits).filter(|(_, time)| *time > ABSURD) {
+        remarks.push(format!("{place} is over a day ({} s): is it in microseconds?", time.as_secs()));
+    }
+    remarks
+}
--- /dev/null
+++ b/src/log.rs
@@ -0,0 +1,185 @@
+//! The node's log: levels and targets by subsystem, as text or JSON lines, on standard error. Lines from one place
+//! of the program are held to so many within a window: a storm of faults must not become one of lines.
+
+use crate::net::config::section::{Format, Level, Log};
+use std::collections::HashMap;
+use std::io;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tracing::callsite::Identifier;
+use tracing::level_filters::LevelFilter;
+use tracing::{warn, Event, Metadata, Subscriber};
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::layer::{Context, Layer, SubscriberExt};
+use tracing_subscriber::util::SubscriberInitExt;
+use tracing_subscriber::{fmt, registry};
+
+/// Starts the log of this process, once. What it leaves out is told by [`Limit::tell`].
+pub fn start(log: &Log) -> Limit {
+    let limit = Limit::new(log.like_lines, log.window);
+    let common = registry().with(targets(log)).with(limit.clone());
+    let lines = fmt::layer().with_ansi(false).with_writer(io::stderr);
+    let started = match log.format {
+        Format::Text => common.with(lines).try_init(),
+        Format::Json => common.with(lines.json().flatten_event(true)).try_init(),
+    };
+    // A log that was started before stays as it is.
+    drop(started);
+    limit
+}
+
+fn targets(log: &Log) -> Targets {
+    let named = log.levels.iter().map(|(name, level)| (name.clone(), level_filter(*level)));
+    Targets::new().with_default(level_filter(log.level)).with_targets(named)
+}
+
+fn level_filter(level: Level) -> LevelFilter {
+    match level {
+        Level::Off => LevelFilter::OFF,
+        Level::Error => LevelFilter::ERROR,
+        Level::Warn => LevelFilter::WARN,
+        Level::Info => LevelFilter::INFO,
+        Level::Debug => LevelFilter::DEBUG,
+        Level::Trace => LevelFilter::TRACE,
+    }
+}
+
+/// Counts lines by the place that they come from.
+#[derive(Clone)]
+pub struct Limit {
+    most: u32,
+    window: Duration,
+    places: Arc<Mutex<HashMap<Identifier, Place>>>,
+}
+
+struct Place {
+    metadata: &'static Metadata<'static>,
+    began: Instant,
+    written: u32,
+    left_out: u64,
+}
+
+impl Limit {
+    fn new(most: u32, window: Duration) -> Self {
+        Self { most, window, places: Arc::default() }
+    }
+
+    /// Whether a line from this place is to be written.
+    fn admits(&self, metadata: &'static Metadata<'static>, now: Instant) -> bool {
+        let mut places = self.places.lock().unwrap_or_else(PoisonError::into_inner);
+        let fresh = || Place { metadata, began: now, written: 0, left_out: 0 };
+        let place = places.entry(metadata.callsite()).or_insert_with(fresh);
+        if now.saturating_duration_since(place.began) >= self.window {
+            (place.began, place.written) = (now, 0);
+        }
+        let admitted = place.written < self.most;
+        place.written += u32::from(admitted);
+        place.left_out += u64::from(!admitted);
+        admitted
+    }
+
+    /// The places whose lines were left out since this was asked last, and how many were.
+    fn take_left_out(&self) -> Vec<(&'static Metadata<'static>, u64)> {
+        let mut places = self.places.lock().unwrap_or_else(PoisonError::into_inner);
+        let counts = places.values_mut().map(|place| (place.metadata, std::mem::take(&mut place.left_out)));
+        counts.filter(|(_, count)| *count > 0).collect()
+    }
+
+    /// Says how many lines were left out, and which.
+    pub fn tell(&self) {
+        for (place, count) in self.take_left_out() {
+            let (file, line) = (place.file().unwrap_or("?"), place.line().unwrap_or(0));
+            warn!(target: "log", count, of = place.target(), "lines left out: more like those of {file}:{line}");
+        }
+    }
+
+    /// Says so at each window's end, for as long as the node runs.
+    pub async fn watch(self) {
+        loop {
+            tokio::time::sleep(self.window).await;
+            self.tell();
+        }
+    }
+}
+
+impl<S: Subscriber> Layer<S> for Limit {
+    fn event_enabled(&self, event: &Event<'_>, _: Context<'_, S>) -> bool {
+        self.admits(event.metadata(), Instant::now())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tracing::subscriber::with_default;
+    use tracing::{debug, info};
+
+    #[derive(Clone, Default)]
+    struct Written(Arc<Mutex<Vec<u8>>>);
+
+    impl io::Write for Written {
+        fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+            self.0.lock().unwrap().extend_from_slice(bytes);
+            Ok(bytes.len())
+        }
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+
+    fn lines_of(log: &Log, limit: &Limit, write: impl Fn()) -> Vec<String> {
+        let written = Written::default();
+        let writer = written.clone();
+        let lines = fmt::layer().with_ansi(false).with_writer(move || writer.clone());
+        with_default(registry().with(targets(log)).with(limit.clone()).with(lines), write);
+        let text = String::from_utf8(written.0.lock().unwrap().clone()).unwrap();
+        text.lines().map(str::to_owned).collect()
+    }
+
+    // Guards against a fault storm that takes the node's time and its disk by way of the log.
+    #[test]
+    fn like_lines_are_held_to_a_number_and_the_others_are_counted() {
+        let limit = Limit::new(3, Duration::from_secs(3600));
+        let lines = lines_of(&Log::default(), &limit, || {
+            for i in 0..1000 {
+                info!(target: "request", "request {i} failed");
+            }
+            info!(target: "policy", "breaker tripped");
+            limit.tell();
+            limit.tell();
+        });
+        assert_eq!(lines.len(), 5, "{lines:?}");
+        assert!(lines[3].contains("policy: breaker tripped"), "{lines:?}");
+        assert!(lines[4].contains("lines left out") && lines[4].contains("count=997"), "{lines:?}");
+        assert!(lines[4].contains("of=\"request\""), "{lines:?}");
+    }
+
+    #[test]
+    fn a_new_window_admits_anew() {
+        fn some_place() -> &'static Metadata<'static> {
+            let mut found = None;
+            with_default(registry(), || {
+                found = tracing::info_span!("place").metadata();
+            });
+            found.unwrap()
+        }
+        let (limit, place, start) = (Limit::new(2, Duration::from_secs(1)), some_place(), Instant::now());
+        let admitted = |ms: &u64| limit.admits(place, start + Duration::from_millis(*ms));
+        assert_eq!([0, 500, 999, 1000, 1500, 1999, 2000].iter().filter(|ms| admitted(ms)).count(), 5);
+        assert_eq!(limit.take_left_out()[0].1, 2);
+    }
+
+    #[test]
+    fn levels_hold_by_subsystem() {
+        let levels = [("policy".to_owned(), Level::Off), ("request".to_owned(), Level::Debug)];
+        let log = Log { level: Level::Warn, levels: levels.into(), ..Log::default() };
+        let lines = lines_of(&log, &Limit::new(10, Duration::from_secs(1)), || {
+            debug!(target: "request", "one");
+            warn!(target: "policy", "two");
+            info!(target: "discovery", "three");
+            warn!(target: "discovery", "four");
+        });
+        let ends: Vec<_> = lines.iter().map(|line| line.rsplit(' ').next().unwrap()).collect();
+        assert_eq!(ends, ["one", "four"]);
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,10 @@
-//! One real node: the decision module on sockets. Start-up, wiring, signals and the exit code.
+//! The program: its commands, and the node, which is the decision module on sockets. Start-up, wiring, signals
+//! and the exit code.
 #![forbid(unsafe_code)]
 
+mod check;
+mod cli;
+mod log;
 mod net {
     pub mod config;
     pub mod discovery;
@@ -10,6 +14,9 @@
     pub mod upstream;
 }
 
+use clap::Parser;
+use cli::{Cli, Command};
+use net::config::fault::ConfigError;
 use net::config::{self, Config};
 use net::discovery::Discovery;
 use net::driver::{Driver, Input};
@@ -18,6 +25,7 @@
 use net::upstream::Upstream;
 use std::error::Error;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::TcpListener;
@@ -26,22 +34,33 @@
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep_until, timeout_at, Instant};
+use tracing::{info, warn};
 use walkpick::Balancer;
 
-/// Descriptors left for the runtime, the listener, discovery and the standard streams.
-const SPARE_SOCKETS: usize = 24;
+/// The exit code where a configuration, or a command line, is wrong.
+const BAD_INPUT: u8 = 2;
 
 fn main() -> ExitCode {
-    match start() {
-        Ok(()) => ExitCode::SUCCESS,
+    let done = match Cli::parse().command {
+        None | Some(Command::Node) => node().map(|()| true),
+        Some(Command::CheckConfig(check)) => check.run().map_err(Into::into),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(BAD_INPUT),
         Err(error) => {
-            eprintln!("walkpick: {error}");
-            ExitCode::FAILURE
+            for line in error.to_string().lines() {
+                eprintln!("walkpick: {line}");
+            }
+            match error.downcast_ref::<ConfigError>() {
+                Some(_) => ExitCode::from(BAD_INPUT),
+                None => ExitCode::FAILURE,
+            }
         }
     }
 }
 
-fn start() -> Result<(), Box<dyn Error>> {
+fn node() -> Result<(), Box<dyn Error>> {
     // A node has one core: one thread, and no locks between its parts.
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, run())
@@ -52,14 +71,15 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
     let pulse = Rc::new(Pulse::start());
-    let Config { name, listen, discovery, seed, sockets, known, settings } =
-        config::load(|name| std::env::var(name).ok())?;
+    let path = config::path(variable)?;
+    let config = config::load(&path, variable)?;
+    let (most, longest_deadline) = (config.connections(), config.longest_deadline());
+    let Config { name, listen, discovery, seed, known, settings, section, .. } = config;
+    let limit = log::start(&section.log);
     let listener =
         TcpListener::bind(listen).await.map_err(|error| format!("cannot listen on {listen}: {error}"))?;
-    eprintln!("node {name} listens on {}", listener.local_addr()?);
+    info!(target: "node", "node {name} listens on {}", listener.local_addr()?);
 
-    // A request holds a connection of its client for as long as one to a cache server.
-    let most = (sockets - SPARE_SOCKETS) / 2;
     // Unbounded, and bounded all the same by the connections: each has one request, or one attempt, in it.
     let (events, inputs) = mpsc::unbounded_channel();
     let (stages, stage) = watch::channel(Stage::Serving);
@@ -70,7 +90,6 @@
     let (sender, news) = (events.clone(), events.clone());
     let tell = Rc::new(move |word| drop(sender.send(Input::Client(word))));
     let front = Rc::new(Front::new(&settings, Rc::clone(&ready), stage, tell));
-    let longest_deadline = settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
     let seq = (!known.hosts.is_empty()).then_some(known.seq);
     let random = fastrand::Rng::with_seed(seed);
     let tell = move |told| news.send(Input::Discovery(told)).is_ok();
@@ -78,7 +97,8 @@
 
     spawn_local(upstream.clone().sweep());
     spawn_local(watching.run(follow.clone()));
-    spawn_local(reload(hangup, moves));
+    spawn_local(limit.clone().watch());
+    spawn_local(reload(hangup, path, moves));
     let balancer = Balancer::new(settings, seed);
     spawn_local(Driver::new(balancer, upstream, follow, ready, events.clone()).run(known, inputs));
     let mut serving = spawn_local(serve(listener, front.clone(), most));
@@ -89,10 +109,11 @@
     terminate.recv().await;
     let (told, noticed) = (pulse.before_signal(), Instant::now());
     let stop = Stop::plan(told, noticed, pulse.lateness(), longest_deadline);
-    eprintln!(
-        "node {name} is told to stop: it closes in {} ms and is gone in {} ms",
-        ms_until(stop.close_at),
-        ms_until(stop.gone_by)
+    info!(
+        target: "node",
+        closes_in_ms = ms_until(stop.close_at),
+        gone_in_ms = ms_until(stop.gone_by),
+        "node {name} is told to stop"
     );
     // The driver only goes when the node does.
     let _ = events.send(Input::Stopping { answer_by: stop.answer_by });
@@ -107,29 +128,35 @@
         serving.await?;
     }
     let last = front.answered.get().filter(|last| *last >= told);
-    let spare =
-        last.map_or_else(|| "none".to_owned(), |last| format!("{} ms", (stop.kill - last).as_millis()));
-    eprintln!(
-        "node {name} is gone {} ms before it may be killed; spare time of its last answer: {spare}",
-        ms_until(stop.kill)
+    let spare_ms = last.map(|last| (stop.kill - last).as_millis() as u64);
+    info!(
+        target: "node",
+        before_kill_ms = ms_until(stop.kill),
+        last_answer_before_kill_ms = spare_ms,
+        "node {name} is gone"
     );
+    limit.tell();
     Ok(())
 }
 
-fn ms_until(then: Instant) -> u128 {
-    then.saturating_duration_since(Instant::now()).as_millis()
+fn ms_until(then: Instant) -> u64 {
+    then.saturating_duration_since(Instant::now()).as_millis() as u64
+}
+
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok()
 }
 
 /// At each SIGHUP the configuration is read anew for where discovery is. A file that does not say changes
 /// nothing: the node goes on with what it has.
-async fn reload(mut hangup: Signal, moves: watch::Sender<SocketAddr>) {
+async fn reload(mut hangup: Signal, path: PathBuf, moves: watch::Sender<SocketAddr>) {
     while hangup.recv().await.is_some() {
-        match config::reload_discovery(|name| std::env::var(name).ok()) {
+        match config::reload_discovery(&path) {
             Ok(address) => {
-                eprintln!("told to reload: discovery is at {address}");
+                info!(target: "node", %address, "told to reload: this is where discovery is");
                 moves.send_if_modified(|held| std::mem::replace(held, address) != address);
             }
-            Err(error) => eprintln!("told to reload, and nothing changes: {error}"),
+            Err(error) => warn!(target: "node", %error, "told to reload, and nothing changes"),
         }
     }
 }
--- /dev/null
+++ b/src/net/config/section.rs
@@ -0,0 +1,290 @@
+//! The optional section `walkpick`: what this node offers beside what the platform asks. Each value is declared
+//! once in [`ITEMS`]; `docs/configuration.md` and the types are held against that by tests.
+
+use super::fault::Fault;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// The section, with a default for each value.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Section {
+    pub log: Log,
+}
+
+/// What is written to standard error, and how.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Log {
+    pub format: Format,
+    pub level: Level,
+    /// By subsystem, in place of `level`.
+    pub levels: BTreeMap<String, Level>,
+    /// Like lines that are written within `window`; the others are counted.
+    pub like_lines: u32,
+    #[serde(with = "humantime_serde")]
+    pub window: Duration,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            format: Format::Text,
+            level: Level::Info,
+            levels: BTreeMap::new(),
+            like_lines: 100,
+            window: Duration::from_secs(1),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Format {
+    Text,
+    Json,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    Off,
+    Error,
+    Warn,
+    Info,
+    Debug,
+    Trace,
+}
+
+/// Subsystems that log under a name of their own.
+pub const SUBSYSTEMS: &[&str] = &["clients", "discovery", "log", "node", "policy", "request"];
+
+const LEVELS: &[&str] = &["off", "error", "warn", "info", "debug", "trace"];
+
+/// What may stand at a place.
+#[derive(Clone, Copy, Debug)]
+pub enum Kind {
+    OneOf(&'static [&'static str]),
+    /// A whole number, with its least and its most.
+    Count(u64, u64),
+    /// A text such as `250ms`, with its least and its most.
+    Time(Duration, Duration),
+    /// An object: to each of these names, one of those words.
+    Map(&'static [&'static str], &'static [&'static str]),
+}
+
+/// One value of the section.
+#[derive(Debug)]
+pub struct Item {
+    /// Below `walkpick`, with dots.
+    pub path: &'static str,
+    pub kind: Kind,
+    /// As JSON.
+    pub default: &'static str,
+    pub about: &'static str,
+}
+
+/// Every value of the section.
+pub const ITEMS: &[Item] = &[
+    Item {
+        path: "log.format",
+        kind: Kind::OneOf(&["text", "json"]),
+        default: "\"text\"",
+        about: "lines for a reader, or one JSON object a line",
+    },
+    Item {
+        path: "log.level",
+        kind: Kind::OneOf(LEVELS),
+        default: "\"info\"",
+        about: "the least grave lines that are written",
+    },
+    Item {
+        path: "log.levels",
+        kind: Kind::Map(SUBSYSTEMS, LEVELS),
+        default: "{}",
+        about: "another level for a subsystem",
+    },
+    Item {
+        path: "log.like_lines",
+        kind: Kind::Count(1, 1_000_000),
+        default: "100",
+        about: "lines from one place of the program that are written within `log.window`; what is left out is counted",
+    },
+    Item {
+        path: "log.window",
+        kind: Kind::Time(Duration::from_millis(100), Duration::from_secs(3600)),
+        default: "\"1s\"",
+        about: "the time over which like lines are counted",
+    },
+];
+
+impl Kind {
+    /// What a message says that it expects; the reference page says the same.
+    pub fn expected(&self) -> String {
+        let words = |words: &[&str]| words.iter().map(|w| format!("`{w}`")).collect::<Vec<_>>().join(", ");
+        let time = |time| humantime::format_duration(time);
+        match self {
+            Self::OneOf(choices) => format!("one of {}", words(choices)),
+            Self::Count(least, most) => format!("a whole number from {least} to {most}"),
+            Self::Time(least, most) => format!("a time as text from `{}` to `{}`", time(*least), time(*most)),
+            Self::Map(names, choices) => {
+                format!("an object of names among {}, each with one of {}", words(names), words(choices))
+            }
+        }
+    }
+
+    fn check(&self, place: &str, value: &Value, faults: &mut Vec<Fault>) {
+        let right = match self {
+            Self::OneOf(choices) => value.as_str().is_some_and(|text| choices.contains(&text)),
+            Self::Count(least, most) => value.as_u64().is_some_and(|count| (*least..=*most).contains(&count)),
+            Self::Time(least, most) => {
+                let time = value.as_str().and_then(|text| humantime::parse_duration(text).ok());
+                time.is_some_and(|time| (*least..=*most).contains(&time))
+            }
+            Self::Map(names, choices) => match value.as_object() {
+                None => false,
+                Some(fields) => {
+                    for (name, value) in fields {
+                        let place = format!("{place}.{name}");
+                        if names.contains(&name.as_str()) {
+                            Self::OneOf(choices).check(&place, value, faults);
+                        } else {
+                            faults.push(unknown(place, name, names.iter().copied()));
+                        }
+                    }
+                    true
+                }
+            },
+        };
+        if !right {
+            faults.push(Fault::at(place, Some(value), self.expected()));
+        }
+    }
+}
+
+/// A name that nothing has, with the one that was probably meant.
+fn unknown<'a>(place: String, name: &str, known: impl Iterator<Item = &'a str>) -> Fault {
+    const LIKE: f64 = 0.7;
+    let known: Vec<_> = known.collect::<BTreeSet<_>>().into_iter().collect();
+    let likeness = |other: &&str| strsim::jaro_winkler(name, other);
+    let nearest = known.iter().copied().max_by(|a, b| likeness(a).total_cmp(&likeness(b)));
+    let expected = match nearest.filter(|nearest| likeness(nearest) >= LIKE) {
+        Some(nearest) => format!("a known name: did you mean `{nearest}`?"),
+        None => format!("one of the names {}", known.join(", ")),
+    };
+    Fault::new(place, "an unknown name", expected)
+}
+
+/// Reads the section, which may be missing. What is wrong is added to `faults`.
+pub fn read(value: Option<&Value>, faults: &mut Vec<Fault>) -> Section {
+    let Some(value) = value else { return Section::default() };
+    let before = faults.len();
+    walk("walkpick", "", value, faults);
+    if faults.len() > before {
+        return Section::default();
+    }
+    serde_json::from_value(value.clone()).unwrap_or_else(|error| {
+        faults.push(Fault::new("walkpick", error.to_string(), "what docs/configuration.md lists"));
+        Section::default()
+    })
+}
+
+/// Checks an object of the section. `path` is what stands before its names in [`ITEMS`].
+fn walk(place: &str, path: &str, value: &Value, faults: &mut Vec<Fault>) {
+    let Some(fields) = value.as_object() else {
+        return faults.push(Fault::at(place, Some(value), "an object"));
+    };
+    for (name, value) in fields {
+        let (place, path) = (format!("{place}.{name}"), format!("{path}{name}"));
+        let below = format!("{path}.");
+        if let Some(item) = ITEMS.iter().find(|item| item.path == path) {
+            item.kind.check(&place, value, faults);
+        } else if ITEMS.iter().any(|item| item.path.starts_with(&below)) {
+            walk(&place, &below, value, faults);
+        } else {
+            let parent = &path[..path.len() - name.len()];
+            let here = ITEMS.iter().filter_map(|item| item.path.strip_prefix(parent));
+            let here = here.map(|rest| rest.split('.').next().unwrap_or(rest));
+            faults.push(unknown(place, name, here));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn faults_of(section: Value) -> Vec<String> {
+        let mut faults = Vec::new();
+        read(Some(&section), &mut faults);
+        faults.iter().map(Fault::to_string).collect()
+    }
+
+    /// Leaves of a value by path; an object that is an item itself is a leaf.
+    fn leaves(path: &str, value: &Value, found: &mut BTreeMap<String, Value>) {
+        match value.as_object() {
+            Some(fields) if !ITEMS.iter().any(|item| item.path == path) => {
+                for (name, value) in fields {
+                    let below = if path.is_empty() { name.clone() } else { format!("{path}.{name}") };
+                    leaves(&below, value, found);
+                }
+            }
+            _ => drop(found.insert(path.to_owned(), value.clone())),
+        }
+    }
+
+    #[test]
+    fn the_declared_values_are_those_of_the_types_with_their_defaults() {
+        let mut typed = BTreeMap::new();
+        leaves("", &serde_json::to_value(Section::default()).unwrap(), &mut typed);
+        let declared = ITEMS.iter();
+        let declared =
+            declared.map(|item| (item.path.to_owned(), serde_json::from_str(item.default).unwrap()));
+        assert_eq!(declared.collect::<BTreeMap<_, Value>>(), typed);
+    }
+
+    #[test]
+    fn the_reference_page_lists_every_value_and_no_other() {
+        let page = include_str!("../../../docs/configuration.md");
+        let rows = page.lines().filter(|line| line.starts_with("| `walkpick."));
+        let declared = ITEMS.iter().map(|item| {
+            let (path, expected, about) = (item.path, item.kind.expected(), item.about);
+            format!("| `walkpick.{path}` | {expected} | `{}` | {about} |", item.default)
+        });
+        let declared: Vec<_> = declared.collect();
+        assert_eq!(rows.collect::<Vec<_>>(), declared, "docs/configuration.md");
+    }
+
+    #[test]
+    fn a_section_is_read_with_defaults_for_what_it_lacks() {
+        let mut faults = Vec::new();
+        let section = json!({"log": {"format": "json", "levels": {"request": "off"}, "window": "250ms"}});
+        let log = read(Some(&section), &mut faults).log;
+        assert_eq!((log.format, log.level, log.like_lines), (Format::Json, Level::Info, 100));
+        assert_eq!((log.window, log.levels["request"]), (Duration::from_millis(250), Level::Off));
+        assert_eq!(faults, []);
+    }
+
+    #[test]
+    fn all_faults_of_a_section_are_told_at_once() {
+        let section = json!({"log": {"levle": "info", "like_lines": -3, "window": "-1s",
+                                     "levels": {"polcy": "info", "request": "loud"}}, "zzz": 1});
+        assert_eq!(
+            faults_of(section),
+            [
+                "walkpick.log.levels.polcy: found an unknown name, expected a known name: did you mean `policy`?",
+                "walkpick.log.levels.request: found \"loud\", expected one of `off`, `error`, `warn`, `info`, \
+                 `debug`, `trace`",
+                "walkpick.log.levle: found an unknown name, expected a known name: did you mean `level`?",
+                "walkpick.log.like_lines: found -3, expected a whole number from 1 to 1000000",
+                "walkpick.log.window: found \"-1s\", expected a time as text from `100ms` to `1h`",
+                "walkpick.zzz: found an unknown name, expected one of the names log",
+            ]
+        );
+        assert_eq!(faults_of(json!(7)), ["walkpick: found 7, expected an object"]);
+        assert_eq!(faults_of(json!({"log": {"window": "900000000000000000000000years"}})).len(), 1);
+    }
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{watch, Notify};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
+use tracing::warn;
 use walkpick::{Availability, ServerEntry, Timestamp};
 
 /// How long a watch asks discovery to wait. A change ends the wait at once, and the agent that holds the
@@ -68,7 +69,7 @@
             Ok(host) => Some(host),
             Err(error) => {
                 let server = name.as_deref().unwrap_or("no name");
-                eprintln!("discovery: the entry of {server} cannot be read, so it gets nothing new: {error}");
+                warn!(target: "discovery", server, %error, "an entry cannot be read: its server gets nothing new");
                 Some(Self { host: name?, health: "draining".to_owned(), ..Self::default() })
             }
         }
@@ -183,7 +184,7 @@
                     }
                 }
                 Err(error) => {
-                    eprintln!("discovery: {error}");
+                    warn!(target: "discovery", %error, "a call failed");
                     failures += 1;
                     link = None;
                     if !(self.tell)(News::Failed) {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, Instant};
+use tracing::{debug, debug_span, info, warn, Span};
 use walkpick::{
     Action, Availability, Balancer, Event, Name, Note, Outcome, Request, RequestId, ServerEntry, ServerId,
     ServerList, Status, Timestamp,
@@ -62,6 +63,7 @@
 }
 
 struct Open {
+    span: Span,
     message: Rc<Message>,
     kind: Name,
     at: Instant,
@@ -164,7 +166,7 @@
                 let id = request_id(ticket);
                 if let Some(open) = self.open.get_mut(&id).filter(|open| open.answer.is_some()) {
                     open.answer = None;
-                    eprintln!("{}", open.story("left"));
+                    open.tell("left");
                     self.due.push_back(Event::Abandoned(id.clone()));
                     self.tidy(&id);
                 }
@@ -194,7 +196,17 @@
                 state => self.upstream.learn(&entry.id, host.dial(), state == Availability::Ready),
             }
         }
-        if entries.iter().any(|entry| entry.availability == Availability::Ready) {
+        let count = |wanted| entries.iter().filter(|entry| entry.availability == wanted).count();
+        let (ready, draining, gone) =
+            (count(Availability::Ready), count(Availability::Draining), count(Availability::Gone));
+        let (seq, whole) = (listing.seq, listing.whole);
+        // Lists that only renew weights come several times a second.
+        if whole || draining + gone > 0 {
+            info!(target: "discovery", seq, whole, ready, draining, gone, "list taken in");
+        } else {
+            debug!(target: "discovery", seq, whole, ready, "list taken in");
+        }
+        if ready > 0 {
             self.ready.set(true);
         }
         entries
@@ -203,7 +215,9 @@
     fn request(&mut self, taken: Taken) {
         let id = request_id(taken.ticket);
         let until = self.bound(taken.at + taken.patience.saturating_sub(MARGIN));
+        let client_id = taken.message.id.to_str().unwrap_or("?");
         let open = Open {
+            span: debug_span!(target: "request", "request", id = client_id, ticket = taken.ticket),
             message: Rc::new(taken.message),
             kind: taken.kind,
             at: taken.at,
@@ -258,6 +272,9 @@
         sent.task = None;
         let (server, took) = (sent.server.clone(), sent.at.elapsed());
         sent.end = Some((ended.status, ended.note, took));
+        open.span.in_scope(|| {
+            debug!(target: "request", attempt, %server, status = ?ended.status, took_ms = took.as_millis() as u64, "ended");
+        });
         if let Some(body) = ended.body {
             reply(open, Answer::Served(body));
         }
@@ -332,9 +349,9 @@
             Action::Wake { after } => self.timers.push(Reverse((Instant::now() + after, Timer::Wake))),
             Action::Close { server } => self.upstream.close_idle(&server),
             Action::Follow => self.follow.notify_one(),
-            Action::Log(text) => eprintln!("{text}"),
+            Action::Log(text) => info!(target: "policy", "{text}"),
             // The module never probes where the settings forbid it, as they do wherever this node runs.
-            Action::Probe { server } => eprintln!("no probe of {server}: this node sends none"),
+            Action::Probe { server } => warn!(target: "policy", %server, "no probe: this node sends none"),
         }
     }
 
@@ -354,6 +371,7 @@
             // The driver only goes when the node does.
             let _ = events.send(Input::Ended { id, attempt, ended });
         });
+        open.span.in_scope(|| debug!(target: "request", attempt, %server, "sent"));
         open.attempts.push(Sent { server, at, task: Some(task.abort_handle()), end: None });
     }
 
@@ -368,22 +386,30 @@
 impl Open {
     /// One line that tells what became of the request: with the log of each node on its way, and no trace of the
     /// sockets, it can be followed by its id.
-    fn story(&self, end: &str) -> String {
+    fn tell(&self, end: &str) {
         let Message { id, method, target, .. } = &*self.message;
-        let (id, after) = (id.to_str().unwrap_or("?"), self.at.elapsed().as_millis());
-        let mut story = format!("request {id} {end} after {after} ms: {} {method} {target}", self.kind);
+        let (id, after_ms) = (id.to_str().unwrap_or("?"), self.at.elapsed().as_millis() as u64);
+        let (class, path) = (self.kind.as_str(), target.as_str());
+        let attempts = self.attempts();
+        self.span.in_scope(|| {
+            info!(target: "request", after_ms, class, %method, path, attempts, "request {id} {end}");
+        });
+    }
+
+    fn attempts(&self) -> String {
+        let mut told = String::new();
         for sent in &self.attempts {
-            let server = &sent.server;
+            let (apart, server) = (if told.is_empty() { "" } else { ", " }, &sent.server);
             // Writing to a string does not fail.
             let _ = match sent.end {
                 Some((status, note, took)) => {
                     let note = note.map_or_else(String::new, |note| format!(" ({note:?})"));
-                    write!(story, ", {server} {status:?}{note} in {} ms", took.as_millis())
+                    write!(told, "{apart}{server} {status:?}{note} in {} ms", took.as_millis())
                 }
-                None => write!(story, ", {server} out for {} ms", sent.at.elapsed().as_millis()),
+                None => write!(told, "{apart}{server} out for {} ms", sent.at.elapsed().as_millis()),
             };
         }
-        story
+        told
     }
 }
 
@@ -396,7 +422,7 @@
             Answer::Failed => Some("failed"),
         };
         if let Some(end) = end {
-            eprintln!("{}", open.story(end));
+            open.tell(end);
         }
         // A client that has gone meanwhile is owed nothing.
         let _ = sender.send(answer);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -24,6 +24,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+use tracing::warn;
 use walkpick::{ClassId, Name, Settings, TenantId};
 
 const REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
@@ -209,7 +210,7 @@
                 });
             }
             Err(error) => {
-                eprintln!("accept: {error}");
+                warn!(target: "clients", %error, "cannot accept a connection");
                 sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,6 +1,7 @@
 //! The simulator's wire: text lines in, text lines out. It parses and formats, and decides nothing.
 
 use crate::api::*;
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt::{self, Write};
 use std::str::FromStr;
@@ -49,14 +50,27 @@
     },
 }
 
+/// A start-up setting that cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingFault {
+    /// Its path, with dots.
+    pub path: String,
+    /// Its text; `None` where it is missing.
+    pub found: Option<String>,
+    /// What should stand there.
+    pub expected: &'static str,
+}
+
 struct Fields<'a> {
     line: &'a str,
     pairs: Vec<(&'a str, &'a str)>,
+    /// Where all faults are wanted, not just the first.
+    faults: Option<RefCell<Vec<SettingFault>>>,
 }
 
 impl<'a> Fields<'a> {
     fn new(line: &'a str, rest: &'a str) -> Self {
-        Self { line, pairs: rest.split(' ').filter_map(|part| part.split_once('=')).collect() }
+        Self { line, pairs: rest.split(' ').filter_map(|part| part.split_once('=')).collect(), faults: None }
     }
 
     fn bad(&self, what: &str) -> WireError {
@@ -68,9 +82,33 @@
         self.pairs.iter().find(|pair| pair.0 == name).map(|pair| pair.1)
     }
 
+    /// Of a value that cannot be read: as if it were missing, where all faults are wanted.
+    fn unreadable<T>(&self, name: &str, expected: &'static str) -> Result<Option<T>, WireError> {
+        let Some(faults) = &self.faults else { return Err(self.bad(&format!("unreadable {name}"))) };
+        let found = self.text(name).map(str::to_owned);
+        faults.borrow_mut().push(SettingFault { path: name.to_owned(), found, expected });
+        Ok(None)
+    }
+
+    fn typed<T: FromStr>(&self, name: &str, expected: &'static str) -> Result<Option<T>, WireError> {
+        match self.text(name).map(str::parse) {
+            None => Ok(None),
+            Some(Ok(value)) => Ok(Some(value)),
+            Some(Err(_)) => self.unreadable(name, expected),
+        }
+    }
+
     fn optional<T: FromStr>(&self, name: &str) -> Result<Option<T>, WireError> {
-        let parse = |text: &str| text.parse().map_err(|_| self.bad(&format!("unreadable {name}")));
-        self.text(name).map(parse).transpose()
+        self.typed(name, "a whole number")
+    }
+
+    /// The name of a setting's part; where all faults are wanted, a missing one is empty.
+    fn named(&self, name: &str) -> Result<Name, WireError> {
+        match (self.text(name), &self.faults) {
+            (Some(text), _) => Ok(text.into()),
+            (None, None) => Err(self.bad(&format!("no {name}"))),
+            (None, Some(_)) => Ok(self.unreadable(name, "a name")?.unwrap_or_else(|| "".into())),
+        }
     }
 
     fn need<T: FromStr>(&self, name: &str) -> Result<T, WireError> {
@@ -79,11 +117,11 @@
 
     /// A number from 0 to `most`; one that is not finite or lies outside is passed over.
     fn number(&self, name: &str, most: f64) -> Result<Option<f64>, WireError> {
-        Ok(self.optional::<f64>(name)?.filter(|value| (0.0..=most).contains(value)))
+        Ok(self.typed::<f64>(name, "a number")?.filter(|value| (0.0..=most).contains(value)))
     }
 
     fn micros(&self, name: &str) -> Result<Option<Duration>, WireError> {
-        Ok(self.optional(name)?.map(Duration::from_micros))
+        Ok(self.typed(name, "a whole number of microseconds")?.map(Duration::from_micros))
     }
 
     fn flag(&self, name: &str) -> Result<Option<bool>, WireError> {
@@ -91,7 +129,7 @@
             None => Ok(None),
             Some("1" | "true") => Ok(Some(true)),
             Some("0" | "false") => Ok(Some(false)),
-            Some(_) => Err(self.bad(&format!("unreadable {name}"))),
+            Some(_) => self.unreadable(name, "true or false"),
         }
     }
 
@@ -284,10 +322,20 @@
     report
 }
 
-/// Reads start-up settings from their pairs of path and value.
-pub fn read_settings(pairs: &[(String, String)]) -> Result<Settings, WireError> {
+/// Reads start-up settings from their pairs of path and value, or tells all that cannot be read.
+pub fn read_settings(pairs: &[(String, String)]) -> Result<Settings, Vec<SettingFault>> {
     let pairs = pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())).collect();
-    settings(&Fields { line: "settings", pairs })
+    let fields = Fields { line: "settings", pairs, faults: Some(RefCell::default()) };
+    let read = settings(&fields);
+    let mut faults = fields.faults.map(RefCell::into_inner).unwrap_or_default();
+    match read {
+        Ok(settings) if faults.is_empty() => Ok(settings),
+        Ok(_) => Err(faults),
+        Err(WireError(found)) => {
+            faults.push(SettingFault { path: String::new(), found: Some(found), expected: "settings" });
+            Err(faults)
+        }
+    }
 }
 
 fn settings(fields: &Fields) -> Result<Settings, WireError> {
@@ -303,7 +351,7 @@
             _ => Scope::Cell,
         };
         classes.push(Class {
-            name: fields.need::<String>(&at("name"))?.as_str().into(),
+            name: fields.named(&at("name"))?,
             effect: match fields.text(&at("effect")) {
                 Some("safe") => Effect::Safe,
                 Some("keyed") => Effect::Keyed { scope, window },
@@ -318,7 +366,7 @@
     let mut tenants = Vec::new();
     for i in 0..fields.optional::<usize>("orgs.count")?.unwrap_or(0) {
         tenants.push(Tenant {
-            name: fields.need::<String>(&format!("orgs.{i}.name"))?.as_str().into(),
+            name: fields.named(&format!("orgs.{i}.name"))?,
             quota_per_s: fields.number(&format!("orgs.{i}.quota_per_s"), f64::MAX)?.unwrap_or(f64::INFINITY),
         });
     }
--- a/tests/node_lifecycle.rs
+++ b/tests/node_lifecycle.rs
@@ -207,7 +207,7 @@
         }
         let ended = command.output().unwrap();
         let error = String::from_utf8(ended.stderr).unwrap();
-        assert!(!ended.status.success(), "{path:?}");
+        assert_eq!(ended.status.code(), Some(2), "{path:?}");
         assert_eq!(error.lines().count(), 1, "{error}");
         assert!(error.starts_with("walkpick: "), "{error}");
     }
