--- /dev/null
+++ b/examples/standin.rs
@@ -0,0 +1,127 @@
+//! A node to try: two tiny cache servers and a discovery in this process, and one real node in front of them.
+//!
+//! `cargo build && cargo run --example standin [ADDRESS]`, then send it the request that it prints. Ctrl-C ends it.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use serde_json::{json, Value};
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::convert::Infallible;
+use std::error::Error;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::process::Command;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::{spawn_local, LocalSet};
+
+type Reply = Response<Full<Bytes>>;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let listen = std::env::args().nth(1).unwrap_or_else(|| "127.0.0.1:7070".to_owned());
+    LocalSet::new().run_until(run(&listen)).await
+}
+
+async fn run(listen: &str) -> Result<(), Box<dyn Error>> {
+    let mut hosts = Vec::new();
+    for name in ["s-1", "s-2"] {
+        let kept = Rc::new(RefCell::new(HashSet::new()));
+        let address = serve(move |request| std::future::ready(cache_server(name, &kept, &request))).await?;
+        hosts.push(json!({"host": name, "dial": address.to_string(), "site": "a", "class": "m2", "block": 0,
+                          "health": "ready", "share": 1.0, "born_ms": 0}));
+    }
+    let list = json!({"seq": 1, "whole": true, "hosts": hosts});
+    let discovery = serve(move |request| discovery(list.clone(), request)).await?;
+
+    let folder = std::env::temp_dir().join(format!("walkpick-standin-{}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    let file = folder.join("config.json");
+    std::fs::write(&file, config(listen, discovery).to_string())?;
+    let node = std::env::current_exe()?.with_file_name("../walkpick");
+    if !node.exists() {
+        return Err(format!("{} is missing: run 'cargo build' first", node.display()).into());
+    }
+    let mut command = Command::new(node);
+    for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
+        command.env_remove(name);
+    }
+    let mut node = command.env("LB_CONFIG", &file).kill_on_drop(true).spawn()?;
+    println!("curl -i -H 'Req-Id: 1' -H 'Req-Kind: read' -H 'Req-Deadline-Ms: 500' http://{listen}/api/7f3a");
+    println!("(a new Req-Id for each request; Ctrl-C ends the node)");
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        ended = node.wait() => println!("the node has ended: {}", ended?),
+        _ = tokio::signal::ctrl_c() => {}
+        _ = terminate.recv() => {}
+    }
+    drop(node);
+    std::fs::remove_dir_all(folder)?;
+    Ok(())
+}
+
+/// Serves on a free port of the loopback.
+async fn serve<F: Future<Output = Reply> + 'static>(
+    answer: impl Fn(Request<Incoming>) -> F + 'static,
+) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let (address, answer) = (listener.local_addr()?, Rc::new(answer));
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            spawn_local(async move {
+                let service = service_fn(move |request| {
+                    let reply = answer(request);
+                    async { Ok::<_, Infallible>(reply.await) }
+                });
+                // A connection that breaks is its client's affair.
+                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+    });
+    Ok(address)
+}
+
+/// Keeps every key that it was asked for.
+fn cache_server(name: &str, kept: &RefCell<HashSet<String>>, request: &Request<Incoming>) -> Reply {
+    let key = request.uri().path().to_owned();
+    let body = Full::from(format!("the value of {key}, from {name}\n"));
+    let known = !kept.borrow_mut().insert(key);
+    let mut reply = Response::new(body);
+    let note = if known { "hit" } else { "miss" };
+    reply.headers_mut().insert("srv-cache", note.parse().expect("a plain word"));
+    reply
+}
+
+/// Has one list, and nothing new to tell.
+async fn discovery(list: Value, request: Request<Incoming>) -> Reply {
+    let watch = request.uri().query().is_some_and(|query| query.contains("after="));
+    if watch {
+        tokio::time::sleep(Duration::from_secs(5)).await;
+    }
+    let nothing = json!({"seq": 1, "whole": false, "hosts": []});
+    Response::new(Full::from(if watch { nothing } else { list }.to_string()))
+}
+
+fn config(listen: &str, discovery: SocketAddr) -> Value {
+    json!({
+        "name": "n1", "listen": listen, "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+        "settings": {
+            "az": "a", "zones": ["a"], "balancers": 1,
+            "lanes": [
+                {"name": "read", "effect": "safe", "promise_us": 500_000, "hard_limit_us": 1_000_000},
+                {"name": "charge", "effect": "unsafe", "promise_us": 1_200_000, "hard_limit_us": 4_000_000},
+            ],
+            "limits": {"connect_timeout_us": 200_000, "keepalive_us": 15_000_000, "most_tries": 3},
+        },
+    })
+}
--- a/tests/node_common/mod.rs
+++ b/tests/node_common/mod.rs
@@ -289,7 +289,7 @@
     pub fn client(&self) -> Client {
         let stream = TcpStream::connect(self.address).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Client(BufReader::new(stream))
+        Client::new(stream)
     }
 
     pub fn get(&self, path: &str) -> Message {
@@ -346,6 +346,10 @@
 pub struct Client(BufReader<TcpStream>);
 
 impl Client {
+    pub fn new(stream: TcpStream) -> Self {
+        Self(BufReader::new(stream))
+    }
+
     pub fn send(&mut self, text: &str) {
         self.0.get_mut().write_all(text.as_bytes()).unwrap();
     }
