Add the lab's first part: a model of the outside systems, a virtual driver, and judges

Change: workspace member lab/ with the program walkpick-lab (the node's build doesn't depend on it). Servers (shared cores, slots, waiting room, crowding, warm-up, connections, least-recently-used memory, shared fetches, writes that void copies), origin (places, queue, fall and return) and clients (arrivals drawn ahead, popular keys that drift, patience, retries) are sans-I/O. The virtual driver plays any number of decision modules with faults on a schedule; every draw is named by what it is for, so arms get the same ones. Judges check the four rules from the lab's own record. TOML experiments with arms and checks; run, compare (paired, with a confidence interval), list, explain.

Not there yet: the real driver, faults on links, calibration, reports as pages, the policy that sees the true state, Ctrl-C that keeps what was measured.

--- /dev/null
+++ b/lab/src/experiment.rs
@@ -0,0 +1,393 @@
+//! Experiments: a deployment, a load, a schedule of faults, arms and checks, read from TOML. What is wrong in a file is
+//! told with its line.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use thiserror::Error;
+
+/// Why an experiment cannot be run.
+#[derive(Debug, Error)]
+pub enum ExperimentError {
+    /// The file cannot be read.
+    #[error("{}: cannot be read: {error}", path.display())]
+    Unreadable {
+        /// Which file.
+        path: PathBuf,
+        /// Why.
+        error: std::io::Error,
+    },
+    /// The file is not an experiment.
+    #[error("{}", faults.iter().map(|fault| format!("{}: {fault}", path.display())).collect::<Vec<_>>().join("\n"))]
+    Faulty {
+        /// Which file.
+        path: PathBuf,
+        /// All that is wrong.
+        faults: Vec<Fault>,
+    },
+}
+
+/// One thing that is wrong in a file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// A line, or the name of a value.
+    pub place: String,
+    /// What was found and what was expected.
+    pub what: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.place, self.what)
+    }
+}
+
+/// An experiment.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Experiment {
+    /// Its name.
+    pub name: String,
+    /// What it shows.
+    pub about: String,
+    /// How long clients come.
+    #[serde(with = "humantime_serde")]
+    pub length: Duration,
+    /// The machines.
+    #[serde(default)]
+    pub deployment: Deployment,
+    /// What clients bring.
+    #[serde(default)]
+    pub load: Load,
+    /// What goes wrong, and when.
+    #[serde(default)]
+    pub fault: Vec<Trouble>,
+    /// Settings that differ, by name.
+    #[serde(default)]
+    pub arm: BTreeMap<String, Arm>,
+    /// What has to hold.
+    #[serde(default)]
+    pub check: Vec<Check>,
+}
+
+/// The machines, with the middle of the operators' ranges where nothing is said.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Deployment {
+    /// Nodes.
+    pub nodes: u32,
+    /// Cache servers.
+    pub servers: u32,
+    /// Zones, over which both are spread in turn.
+    pub zones: u32,
+    /// Cores of a server.
+    pub cores: f64,
+    /// Objects that a server keeps.
+    pub memory: u32,
+    /// Asks that the origin can take, for each that is left with one pooled cache of the fleet's size.
+    pub origin_headroom: f64,
+    /// Mean time of the origin.
+    #[serde(with = "humantime_serde")]
+    pub origin_time: Duration,
+    /// Share of its capacity that a fresh server has, and the time until all of it is there.
+    pub cold_share: f64,
+    /// See `cold_share`.
+    #[serde(with = "humantime_serde")]
+    pub warm: Duration,
+    /// How late nodes hear of a change, at the least and at the most.
+    #[serde(with = "humantime_serde")]
+    pub notice_least: Duration,
+    /// See `notice_least`.
+    #[serde(with = "humantime_serde")]
+    pub notice_most: Duration,
+    /// How late the front sees that a node is dead.
+    #[serde(with = "humantime_serde")]
+    pub front_notice: Duration,
+}
+
+impl Default for Deployment {
+    fn default() -> Self {
+        let ms = Duration::from_millis;
+        Self {
+            nodes: 4,
+            servers: 12,
+            zones: 2,
+            cores: 3.0,
+            memory: 400,
+            origin_headroom: 3.4,
+            origin_time: ms(170),
+            cold_share: 0.25,
+            warm: ms(18_000),
+            notice_least: ms(800),
+            notice_most: ms(3_000),
+            front_notice: ms(2_800),
+        }
+    }
+}
+
+/// What clients bring.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Load {
+    /// Work asked for, as a part of what the servers can do.
+    pub share: f64,
+    /// Ups and downs, as a part of it.
+    pub swing: f64,
+    /// Part of the clients in the first zone.
+    pub first_zone: f64,
+    /// Objects for each that a server keeps.
+    pub keys_per_memory: f64,
+    /// How uneven their popularity is.
+    pub zipf: f64,
+    /// Part of the objects that give their rank to others each second.
+    pub drift: f64,
+    /// Tries of a client beyond its first.
+    pub retries: u32,
+    /// What it waits before one.
+    #[serde(with = "humantime_serde")]
+    pub backoff: Duration,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            share: 0.45,
+            swing: 0.1,
+            first_zone: 0.5,
+            keys_per_memory: 2.5,
+            zipf: 0.9,
+            drift: 0.002,
+            retries: 2,
+            backoff: Duration::from_millis(50),
+        }
+    }
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum What {
+    /// Servers take `size` times as long.
+    ServerSlow,
+    /// Servers answer `size` (a part) of one class, or of all, with errors.
+    ServerErring,
+    /// Servers say nothing; at the end they are back, cold.
+    ServerSilent,
+    /// A whole zone of servers says nothing; at the end they are back, cold.
+    ZoneSilent,
+    /// Servers are drained and replaced by new ones, one after the other over the time.
+    ServersReplaced,
+    /// Nodes are killed; at the end they start anew.
+    NodeKilled,
+    /// The origin takes `size` times as long.
+    OriginSlow,
+    /// Lists come `size` times as late.
+    DiscoveryLate,
+}
+
+/// One fault on the schedule. Faults may overlap.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Trouble {
+    /// What goes wrong.
+    pub what: What,
+    /// From when.
+    #[serde(with = "humantime_serde")]
+    pub from: Duration,
+    /// Until when.
+    #[serde(with = "humantime_serde")]
+    pub to: Duration,
+    /// Which part of the servers or nodes it meets.
+    #[serde(default = "one")]
+    pub part: f64,
+    /// How bad it is.
+    #[serde(default = "one")]
+    pub size: f64,
+    /// Which class alone, where it meets one alone.
+    #[serde(default)]
+    pub class: Option<String>,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Which decisions run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Policy {
+    /// The program's.
+    #[default]
+    Walkpick,
+    /// Any ready server, by chance; no breaker.
+    Random,
+    /// Plain consistent hashing, with breakers at the paper's defaults.
+    Hash,
+    /// The program's, made to believe that no server ever drains: for the judges to catch.
+    IgnoresDrains,
+    /// The program's, made to believe that everything may run again: for the judges to catch.
+    ResendsCharge,
+    /// Sends on whatever comes, to any server that was ever named, again and again: for the judges to catch.
+    BlocksNothing,
+}
+
+/// Settings that differ.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Arm {
+    /// Which decisions run.
+    pub policy: Policy,
+    /// No fault of the schedule happens.
+    pub no_faults: bool,
+}
+
+/// What has to hold: a figure within a bound, in one arm or in each.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Check {
+    /// What it is called.
+    pub name: String,
+    /// The figure; `rules` counts broken rules.
+    pub figure: String,
+    /// In which arm; in each where it is missing.
+    #[serde(default)]
+    pub arm: Option<String>,
+    /// It is no less than this.
+    #[serde(default)]
+    pub at_least: Option<f64>,
+    /// It is no more than this.
+    #[serde(default)]
+    pub at_most: Option<f64>,
+}
+
+impl Experiment {
+    /// Reads a file.
+    pub fn load(path: &Path) -> Result<Self, ExperimentError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| ExperimentError::Unreadable { path: path.to_owned(), error })?;
+        Self::parse(&text).map_err(|faults| ExperimentError::Faulty { path: path.to_owned(), faults })
+    }
+
+    /// Reads a text.
+    pub fn parse(text: &str) -> Result<Self, Vec<Fault>> {
+        let read: Self = toml::from_str(text).map_err(|error| {
+            let before = error.span().and_then(|span| text.get(..span.start)).unwrap_or("");
+            let line = before.matches('\n').count() + 1;
+            vec![Fault { place: format!("line {line}"), what: error.message().replace('\n', " ") }]
+        })?;
+        let faults = read.faults();
+        match faults.is_empty() {
+            true => Ok(read),
+            false => Err(faults),
+        }
+    }
+
+    /// Its arms, in the order of their names; one named `walkpick` where it names none.
+    pub fn arms(&self) -> BTreeMap<String, Arm> {
+        if self.arm.is_empty() {
+            return [("walkpick".to_owned(), Arm::default())].into();
+        }
+        self.arm.clone()
+    }
+
+    fn faults(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        let mut within = |place: String, value: f64, least: f64, most: f64| {
+            if !(least..=most).contains(&value) {
+                let what = format!("found {value}, expected {least} to {most}");
+                faults.push(Fault { place, what });
+            }
+        };
+        let Deployment { nodes, servers, zones, cores, memory, .. } = self.deployment;
+        within("length".into(), self.length.as_secs_f64(), 1.0, 3600.0);
+        within("deployment.nodes".into(), nodes.into(), 1.0, 10_000.0);
+        within("deployment.servers".into(), servers.into(), 1.0, 10_000.0);
+        within("deployment.zones".into(), zones.into(), 1.0, servers.min(nodes).max(1).into());
+        within("deployment.cores".into(), cores, 0.1, 1_000.0);
+        within("deployment.memory".into(), memory.into(), 1.0, 1e7);
+        within("deployment.cold_share".into(), self.deployment.cold_share, 0.01, 1.0);
+        within("deployment.origin_headroom".into(), self.deployment.origin_headroom, 0.01, 1e6);
+        within("load.share".into(), self.load.share, 0.001, 10.0);
+        within("load.swing".into(), self.load.swing, 0.0, 1.0);
+        within("load.first_zone".into(), self.load.first_zone, 0.0, 1.0);
+        within("load.keys_per_memory".into(), self.load.keys_per_memory, 0.01, 1e6);
+        within("load.zipf".into(), self.load.zipf, 0.0, 10.0);
+        within("load.drift".into(), self.load.drift, 0.0, 1.0);
+        within("load.retries".into(), self.load.retries.into(), 0.0, 10.0);
+        for (i, trouble) in self.fault.iter().enumerate() {
+            within(format!("fault {}: part", i + 1), trouble.part, 0.0, 1.0);
+            within(format!("fault {}: size", i + 1), trouble.size, 0.0, 1e6);
+            let (from, to) = (trouble.from.as_secs_f64(), trouble.to.as_secs_f64());
+            within(format!("fault {}: to", i + 1), to, from, self.length.as_secs_f64());
+        }
+        let kinds = crate::model::clients::kinds();
+        for (i, trouble) in self.fault.iter().enumerate() {
+            if let Some(class) = &trouble.class {
+                if !kinds.iter().any(|kind| kind.class.name.as_str() == class) {
+                    let names: Vec<_> = kinds.iter().map(|kind| kind.class.name.to_string()).collect();
+                    let what = format!("found \"{class}\", expected one of {}", names.join(", "));
+                    faults.push(Fault { place: format!("fault {}: class", i + 1), what });
+                }
+            }
+        }
+        for (i, check) in self.check.iter().enumerate() {
+            let place = |what: &str| format!("check {}: {what}", i + 1);
+            if !crate::judge::FIGURES.iter().any(|(name, _)| *name == check.figure) {
+                let names: Vec<_> = crate::judge::FIGURES.iter().map(|(name, _)| *name).collect();
+                let what = format!("found \"{}\", expected one of {}", check.figure, names.join(", "));
+                faults.push(Fault { place: place("figure"), what });
+            }
+            if check.at_least.is_none() && check.at_most.is_none() {
+                let what = "found no bound, expected at_least or at_most".to_owned();
+                faults.push(Fault { place: place("bound"), what });
+            }
+            if check.arm.as_ref().is_some_and(|arm| !self.arms().contains_key(arm)) {
+                let names: Vec<_> = self.arms().into_keys().collect();
+                let found = check.arm.as_deref().unwrap_or_default();
+                let what = format!("found \"{found}\", expected one of {}", names.join(", "));
+                faults.push(Fault { place: place("arm"), what });
+            }
+        }
+        faults
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SMALL: &str = "name = \"x\"\nabout = \"y\"\nlength = \"10s\"\n";
+
+    fn said(text: &str) -> Vec<String> {
+        Experiment::parse(text).unwrap_err().iter().map(Fault::to_string).collect()
+    }
+
+    #[test]
+    fn a_text_that_is_no_experiment_is_told_with_its_line() {
+        assert!(said("name = \"x\"\nabout = 3\n")[0].starts_with("line 2: "));
+        assert!(
+            said(&format!("{SMALL}[load]\nshare = 0.5\nshar = 1\n"))[0].starts_with("line 6: unknown field")
+        );
+        assert!(said("")[0].contains("missing field"));
+        assert!(said(&format!("{SMALL}[[fault]]\nwhat = \"melts\"\nfrom = \"1s\"\nto = \"2s\"\n"))[0]
+            .contains("unknown variant `melts`"));
+    }
+
+    #[test]
+    fn what_makes_no_sense_is_told_all_at_once() {
+        let text = format!(
+            "{SMALL}[load]\nshare = -1\n[[fault]]\nwhat = \"server-slow\"\nfrom = \"5s\"\nto = \"2s\"\npart = 2\n\
+             [[check]]\nname = \"c\"\nfigure = \"luck\"\narm = \"none\"\n"
+        );
+        assert_eq!(said(&text).len(), 6, "{:?}", said(&text));
+    }
+
+    #[test]
+    fn a_small_experiment_has_one_arm_and_defaults() {
+        let read = Experiment::parse(SMALL).unwrap();
+        assert_eq!(read.arms().keys().collect::<Vec<_>>(), ["walkpick"]);
+        assert_eq!(read.deployment.servers, 12);
+    }
+}
--- /dev/null
+++ b/lab/src/judge.rs
@@ -0,0 +1,259 @@
+//! Judges: the rules, checked from the lab's own record, and the figures of a run.
+
+use crate::experiment::{Check, Experiment};
+use crate::model::clients::{Ask, Kind};
+use crate::model::{Micros, SECOND};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// Broken rules that are told one by one; the others are counted.
+const TOLD: usize = 20;
+
+/// The figures that a check may name, with what each means.
+pub const FIGURES: &[(&str, &str)] = &[
+    ("served", "worth in time over worth asked for, the whole run"),
+    ("worst_window", "the same, in the worst 10 s"),
+    ("worst_class", "the same, for the worst class with a hundredth of the requests"),
+    ("refused", "part of the requests whose last try was refused"),
+    ("failed", "part of the requests whose last try failed or was never answered"),
+    ("tries", "tries of a client for each request"),
+    ("attempts", "attempts at servers for each request"),
+    ("misses", "part of the served reads that no server had kept"),
+    ("crossings", "attempts to another zone for each request"),
+    ("connections", "new connections to servers for each request"),
+    ("wasted", "part of the servers' work whose answer nobody used"),
+    ("origin_falls", "times that the origin fell over"),
+    ("cold_falls", "cold servers that fell over"),
+    ("p50_ms", "median time of what was served, from when it was due"),
+    ("p99_ms", "99th percentile of that"),
+    ("rules", "broken rules"),
+];
+
+/// A broken rule.
+#[derive(Clone, Debug, Serialize)]
+pub struct Broken {
+    /// Which: final-answer, resend, drain, cold-server.
+    pub rule: &'static str,
+    /// When, in seconds.
+    pub at_s: f64,
+    /// What happened.
+    pub what: String,
+}
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum End {
+    /// Not over, or over with no answer.
+    #[default]
+    None,
+    /// Refused.
+    Refused,
+    /// Failed.
+    Failed,
+    /// Served.
+    Served,
+}
+
+/// What a run is told while it goes on.
+#[derive(Debug, Default)]
+pub struct Record {
+    ends: Vec<(End, Option<Micros>)>,
+    /// Tries of clients.
+    pub tries: u64,
+    /// Attempts at servers.
+    pub attempts: u64,
+    /// Attempts to another zone.
+    pub crossings: u64,
+    /// New connections to servers.
+    pub connections: u64,
+    /// Reads that were served, and those of them that no server had kept.
+    pub reads: (u64, u64),
+    /// Work done, and what of it nobody used, in microseconds.
+    pub work_us: (f64, f64),
+    /// Cold servers that fell over.
+    pub cold_falls: u64,
+    /// Times that the origin fell over.
+    pub origin_falls: u64,
+    broken: Vec<Broken>,
+    broken_count: u64,
+}
+
+/// One second of a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Second {
+    /// Worth asked for.
+    pub asked: f64,
+    /// Worth served in time.
+    pub served: f64,
+    /// Requests.
+    pub requests: u32,
+    /// Those refused.
+    pub refused: u32,
+    /// Those failed or never answered.
+    pub failed: u32,
+}
+
+/// What a run came to.
+#[derive(Clone, Debug, Serialize)]
+pub struct Result {
+    /// The experiment.
+    pub experiment: String,
+    /// The arm.
+    pub arm: String,
+    /// The seed.
+    pub seed: u64,
+    /// The build.
+    pub version: &'static str,
+    /// Requests asked.
+    pub requests: usize,
+    /// The same in every arm: of all that was drawn ahead.
+    pub draws: String,
+    /// By name; see [`FIGURES`].
+    pub figures: BTreeMap<&'static str, f64>,
+    /// Of this arm.
+    pub checks: Vec<Checked>,
+    /// The first ones.
+    pub rules_broken: Vec<Broken>,
+    /// By second.
+    pub series: Vec<Second>,
+}
+
+/// A check and what came of it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Checked {
+    /// Its name.
+    pub name: String,
+    /// The figure's name.
+    pub figure: String,
+    /// What it came to.
+    pub value: f64,
+    /// What it should be.
+    pub bound: String,
+    /// Whether it is.
+    pub holds: bool,
+}
+
+impl Record {
+    /// Of so many requests.
+    pub fn new(requests: usize) -> Self {
+        Self { ends: vec![Default::default(); requests], ..Self::default() }
+    }
+
+    /// Notes a broken rule.
+    pub fn breaks(&mut self, now: Micros, rule: &'static str, what: impl FnOnce() -> String) {
+        self.broken_count += 1;
+        if self.broken.len() < TOLD {
+            self.broken.push(Broken { rule, at_s: now as f64 / SECOND as f64, what: what() });
+        }
+    }
+
+    /// A client's request has come to this end; what is served stays served.
+    pub fn end(&mut self, ask: usize, end: End, at: Micros) {
+        let known = &mut self.ends[ask];
+        if known.0 != End::Served {
+            *known = (end, Some(at));
+        }
+    }
+
+    /// Puts the figures together: what is asked from `lead` on counts.
+    pub fn figures(
+        &self,
+        asks: &[Ask],
+        kinds: &[Kind],
+        lead: Micros,
+    ) -> (BTreeMap<&'static str, f64>, Vec<Second>) {
+        let mut series = Vec::new();
+        let mut classes = vec![(0.0, 0.0, 0usize); kinds.len()];
+        let (mut refused, mut failed, mut counted) = (0u64, 0u64, 0u64);
+        // To a minute, with three digits.
+        let mut times = Histogram::<u64>::new_with_bounds(1, 60 * SECOND, 3).ok();
+        for (ask, &(end, at)) in asks.iter().zip(&self.ends).filter(|(ask, _)| ask.at >= lead) {
+            let kind = &kinds[ask.kind];
+            let worth = kind.class.worth * ask.work_us / SECOND as f64;
+            let took = at.map(|at| at.saturating_sub(ask.at));
+            let in_time =
+                end == End::Served && took.is_some_and(|took| took <= crate::model::micros(kind.class.aim));
+            let served = if in_time { worth } else { 0.0 };
+            let place = ((ask.at - lead) / SECOND) as usize;
+            if series.len() <= place {
+                series.resize(place + 1, Second::default());
+            }
+            let second = &mut series[place];
+            second.asked += worth;
+            second.served += served;
+            second.requests += 1;
+            second.refused += u32::from(end == End::Refused);
+            second.failed += u32::from(matches!(end, End::Failed | End::None));
+            let class = &mut classes[ask.kind];
+            *class = (class.0 + worth, class.1 + served, class.2 + 1);
+            counted += 1;
+            refused += u64::from(end == End::Refused);
+            failed += u64::from(matches!(end, End::Failed | End::None));
+            if let (End::Served, Some(took), Some(times)) = (end, took, &mut times) {
+                times.saturating_record(took.max(1));
+            }
+        }
+        let sum = |seconds: &[Second]| {
+            let asked: f64 = seconds.iter().map(|second| second.asked).sum();
+            ratio(seconds.iter().map(|second| second.served).sum(), asked)
+        };
+        let worst_window = series.windows(10.min(series.len().max(1))).map(sum).fold(1.0, f64::min);
+        let many = classes.iter().filter(|class| class.2 as u64 * 100 >= counted);
+        let worst_class = many.map(|class| ratio(class.1, class.0)).fold(1.0, f64::min);
+        let per = |count: u64| ratio(count as f64, asks.len() as f64);
+        let quantile = |q| times.as_ref().map_or(0.0, |times| times.value_at_quantile(q) as f64 / 1_000.0);
+        let figures = [
+            ("served", sum(&series)),
+            ("worst_window", worst_window),
+            ("worst_class", worst_class),
+            ("refused", ratio(refused as f64, counted as f64)),
+            ("failed", ratio(failed as f64, counted as f64)),
+            ("tries", per(self.tries)),
+            ("attempts", per(self.attempts)),
+            ("misses", ratio(self.reads.1 as f64, self.reads.0 as f64)),
+            ("crossings", per(self.crossings)),
+            ("connections", per(self.connections)),
+            ("wasted", ratio(self.work_us.1, self.work_us.0)),
+            ("origin_falls", self.origin_falls as f64),
+            ("cold_falls", self.cold_falls as f64),
+            ("p50_ms", quantile(0.5)),
+            ("p99_ms", quantile(0.99)),
+            ("rules", self.broken_count as f64),
+        ];
+        (figures.into(), series)
+    }
+
+    /// The rules that were broken first.
+    pub fn broken(&self) -> &[Broken] {
+        &self.broken
+    }
+}
+
+fn ratio(part: f64, whole: f64) -> f64 {
+    if whole > 0.0 {
+        part / whole
+    } else {
+        0.0
+    }
+}
+
+/// Holds the figures of an arm against an experiment's checks.
+pub fn check(experiment: &Experiment, arm: &str, figures: &BTreeMap<&'static str, f64>) -> Vec<Checked> {
+    let of_arm = |check: &&Check| check.arm.as_ref().is_none_or(|name| name == arm);
+    let checked = experiment.check.iter().filter(of_arm).map(|check| {
+        let value = figures.get(check.figure.as_str()).copied().unwrap_or(f64::NAN);
+        let bounds = [(check.at_least, "at least"), (check.at_most, "at most")];
+        let bound = bounds.iter().filter_map(|(bound, word)| bound.map(|bound| format!("{word} {bound}")));
+        let holds = check.at_least.is_none_or(|least| value >= least)
+            && check.at_most.is_none_or(|most| value <= most);
+        Checked {
+            name: check.name.clone(),
+            figure: check.figure.clone(),
+            value,
+            bound: bound.collect::<Vec<_>>().join(", "),
+            holds,
+        }
+    });
+    checked.collect()
+}
--- /dev/null
+++ b/lab/src/policies.rs
@@ -0,0 +1,218 @@
+//! Decision modules that an arm may run: the program's own, baselines, and broken ones for the judges to catch.
+
+use crate::experiment::Policy;
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::SplitMix64;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+use walkpick::{
+    Action, Availability, Balancer, Class, Effect, Event, Outcome, Request, RequestId, ServerEntry, ServerId,
+    ServerList, Settings, Status, Timestamp,
+};
+
+/// A decision module, as a node hosts it.
+pub trait Decisions {
+    /// Takes in what happened and appends what the node must do.
+    fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>);
+}
+
+impl Decisions for Balancer {
+    fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
+        Balancer::handle(self, now, event, actions);
+    }
+}
+
+/// The module of an arm.
+pub fn build(policy: Policy, settings: Settings, seed: u64) -> Box<dyn Decisions> {
+    let simple = |how| Box::new(Simple::new(how, settings.clone(), seed));
+    match policy {
+        Policy::Walkpick => Box::new(Balancer::new(settings, seed)),
+        Policy::Random => simple(How::Random),
+        Policy::Hash => simple(How::Hash),
+        Policy::BlocksNothing => simple(How::Blind),
+        Policy::IgnoresDrains => Box::new(NeverDrains(Balancer::new(settings, seed))),
+        Policy::ResendsCharge => {
+            let careless = |class: &Class| Class { effect: Effect::Safe, ..class.clone() };
+            let classes = settings.classes.iter().map(careless).collect();
+            Box::new(Balancer::new(Settings { classes, ..settings }, seed))
+        }
+    }
+}
+
+/// Shows its module every server as ready.
+struct NeverDrains(Balancer);
+
+impl Decisions for NeverDrains {
+    fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
+        let ready = |list: &[ServerEntry]| {
+            let entries = list.iter().map(|e| ServerEntry { availability: Availability::Ready, ..e.clone() });
+            entries.collect::<Vec<_>>().into()
+        };
+        let event = match event {
+            Event::Restored(list) => Event::Restored(ready(&list)),
+            Event::Servers(ServerList::Full(list) | ServerList::Changes(list)) => {
+                Event::Servers(ServerList::Changes(ready(&list)))
+            }
+            other => other,
+        };
+        self.0.handle(now, event, actions);
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum How {
+    Random,
+    Hash,
+    /// To any server that was ever named, whatever the class.
+    Blind,
+}
+
+/// The paper's defaults.
+const TRIP_RATE: f64 = 0.6;
+const MIN_CALLS: u32 = 3;
+const WINDOW: Duration = Duration::from_secs(5);
+const COOLDOWN: Duration = Duration::from_secs(6);
+const TRIALS: u32 = 3;
+
+#[derive(Clone, Copy)]
+enum State {
+    Closed { window: Timestamp, calls: u32, failures: u32 },
+    Open(Timestamp),
+    Half { sent: u32, passed: u32 },
+}
+
+impl State {
+    fn closed(now: Timestamp) -> Self {
+        Self::Closed { window: now + WINDOW, calls: 0, failures: 0 }
+    }
+
+    fn admits(self, now: Timestamp) -> bool {
+        match self {
+            Self::Closed { .. } => true,
+            Self::Open(until) => now >= until,
+            Self::Half { sent, .. } => sent < TRIALS,
+        }
+    }
+
+    fn sent(self) -> Self {
+        match self {
+            Self::Open(_) => Self::Half { sent: 1, passed: 0 },
+            Self::Half { sent, passed } => Self::Half { sent: sent + 1, passed },
+            closed => closed,
+        }
+    }
+
+    fn judged(self, ok: bool, now: Timestamp) -> Self {
+        match self {
+            Self::Half { .. } if !ok => Self::Open(now + COOLDOWN),
+            Self::Half { passed, .. } if passed + 1 >= TRIALS => Self::closed(now),
+            Self::Half { sent, passed } => Self::Half { sent, passed: passed + 1 },
+            Self::Open(until) => Self::Open(until),
+            Self::Closed { window, calls, failures } => {
+                let turned = now >= window;
+                let (calls, failures) = if turned { (0, 0) } else { (calls, failures) };
+                let (calls, failures) = (calls + 1, failures + u32::from(!ok));
+                if calls >= MIN_CALLS && f64::from(failures) >= TRIP_RATE * f64::from(calls) {
+                    return Self::Open(now + COOLDOWN);
+                }
+                Self::Closed { window: if turned { now + WINDOW } else { window }, calls, failures }
+            }
+        }
+    }
+}
+
+/// A baseline: picks by chance or by hash, tries again elsewhere while the class allows it.
+struct Simple {
+    how: How,
+    settings: Settings,
+    random: SplitMix64,
+    servers: BTreeMap<ServerId, (ServerEntry, State)>,
+    open: HashMap<RequestId, (Request, u32)>,
+}
+
+impl Simple {
+    fn new(how: How, settings: Settings, seed: u64) -> Self {
+        let random = SplitMix64::seed_from_u64(seed);
+        Self { how, settings, random, servers: BTreeMap::new(), open: HashMap::new() }
+    }
+
+    fn learn(&mut self, list: &[ServerEntry], full: bool, now: Timestamp) {
+        if full && self.how != How::Blind {
+            self.servers.retain(|id, _| list.iter().any(|entry| entry.id == *id));
+        }
+        for entry in list {
+            if entry.availability == Availability::Gone && self.how != How::Blind {
+                self.servers.remove(&entry.id);
+                continue;
+            }
+            let known = self.servers.entry(entry.id.clone());
+            known.or_insert_with(|| (entry.clone(), State::closed(now))).0 = entry.clone();
+        }
+    }
+
+    fn pick(&mut self, now: Timestamp, key: u64, attempt: u32) -> Option<ServerId> {
+        let usable =
+            |entry: &ServerEntry| self.how == How::Blind || entry.availability == Availability::Ready;
+        let ready: Vec<_> = self.servers.values().filter(|(entry, _)| usable(entry)).collect();
+        if ready.is_empty() {
+            return None;
+        }
+        let place = |round: u64| {
+            let mut hash = SplitMix64::seed_from_u64(key ^ round << 48);
+            hash.random_range(0..ready.len())
+        };
+        let at = match self.how {
+            How::Random => self.random.random_range(0..ready.len()),
+            How::Blind => place(attempt.into()),
+            How::Hash => {
+                let rounds = (u64::from(attempt)..64).map(place);
+                rounds.clone().find(|&i| ready[i].1.admits(now)).unwrap_or_else(|| place(0))
+            }
+        };
+        Some(ready[at].0.id.clone())
+    }
+
+    fn send(&mut self, now: Timestamp, request: Request, attempt: u32, actions: &mut Vec<Action>) {
+        let id = request.id.clone();
+        let Some(server) = self.pick(now, request.key.unwrap_or(0), attempt) else {
+            return actions.push(Action::Fail { id });
+        };
+        if let Some((_, state)) = self.servers.get_mut(&server) {
+            *state = state.sent();
+        }
+        let timeout = request.valid_until.since(now);
+        actions.push(Action::Send { id: id.clone(), server, timeout });
+        self.open.insert(id, (request, attempt));
+    }
+
+    fn outcome(&mut self, now: Timestamp, outcome: &Outcome, actions: &mut Vec<Action>) {
+        let ok = matches!(outcome.status, Status::Ok | Status::Miss);
+        if let Some((_, state)) = self.servers.get_mut(&outcome.server) {
+            *state = state.judged(ok, now);
+        }
+        let Some((request, attempt)) = self.open.remove(&outcome.id) else { return };
+        if ok || outcome.finished {
+            return;
+        }
+        let class = request.class.and_then(|class| self.settings.classes.get(class.0));
+        let safe = class.is_some_and(|class| class.effect == Effect::Safe);
+        let again = outcome.status.never_ran() || safe || self.how == How::Blind;
+        if again && attempt + 1 < self.settings.max_attempts.min(3) && now < request.valid_until {
+            return self.send(now, request, attempt + 1, actions);
+        }
+        actions.push(Action::Fail { id: outcome.id.clone() });
+    }
+}
+
+impl Decisions for Simple {
+    fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Restored(list) | Event::Servers(ServerList::Full(list)) => self.learn(&list, true, now),
+            Event::Servers(ServerList::Changes(list)) => self.learn(&list, false, now),
+            Event::Request(request) => self.send(now, request, 0, actions),
+            Event::Outcome(outcome) => self.outcome(now, &outcome, actions),
+            Event::Abandoned(id) => drop(self.open.remove(&id)),
+            _ => {}
+        }
+    }
+}
