--- a/src/log.rs
+++ b/src/log.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 use tracing::callsite::Identifier;
 use tracing::level_filters::LevelFilter;
 use tracing::{warn, Event, Metadata, Subscriber};
@@ -50,6 +51,8 @@
     most: u32,
     window: Duration,
     places: Arc<Mutex<HashMap<Identifier, Place>>>,
+    /// Told when a line is left out.
+    left_out: Arc<Notify>,
 }
 
 struct Place {
@@ -61,7 +64,7 @@
 
 impl Limit {
     fn new(most: u32, window: Duration) -> Self {
-        Self { most, window, places: Arc::default() }
+        Self { most, window, places: Arc::default(), left_out: Arc::default() }
     }
 
     /// Whether a line from this place is to be written.
@@ -74,7 +77,10 @@
         }
         let admitted = place.written < self.most;
         place.written += u32::from(admitted);
-        place.left_out += u64::from(!admitted);
+        if !admitted {
+            place.left_out += 1;
+            self.left_out.notify_one();
+        }
         admitted
     }
 
@@ -93,9 +99,10 @@
         }
     }
 
-    /// Says so at each window's end, for as long as the node runs.
+    /// Says so at the end of each window in which lines were left out, for as long as the node runs.
     pub async fn watch(self) {
         loop {
+            self.left_out.notified().await;
             tokio::time::sleep(self.window).await;
             self.tell();
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -41,7 +41,9 @@
 const BAD_INPUT: u8 = 2;
 
 fn main() -> ExitCode {
-    let done = match Cli::parse().command {
+    // With no command it is a node: a fleet that starts need not set up what reads a command line.
+    let command = if std::env::args_os().len() > 1 { Cli::parse().command } else { None };
+    let done = match command {
         None | Some(Command::Node) => node().map(|()| true),
         Some(Command::CheckConfig(check)) => check.run().map_err(Into::into),
     };
