Drop what the lab's driver kept twice: parts of servers, codes for answers, a second first try

Need: the virtual driver held a copy of each server's parts beside the server's own, packed ends and answers into numbers only to sort events, and had two events for the same thing.

Change: a server is restarted from its own parts, ends and answers sort by themselves, one event begins a try.

--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -42,7 +42,7 @@
 }
 
 /// What became of a request.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum End {
     /// Not over, or over with no answer.
     #[default]
--- a/lab/src/model/server.rs
+++ b/lab/src/model/server.rs
@@ -66,7 +66,7 @@
 }
 
 /// How a server answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Said {
     /// Served from memory.
     Hit,
@@ -182,6 +182,11 @@
         }
     }
 
+    /// The same machine, started anew: cold and empty.
+    pub fn restarted(&self, now: Micros) -> Self {
+        Self::new(self.parts.clone(), Some(now))
+    }
+
     /// Requests that it holds.
     pub fn held(&self) -> usize {
         self.in_slots() + self.waiting.len()
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -57,17 +57,16 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Next {
-    Arrive(usize),
     Try { ask: usize },
     AtNode(Ticket),
     Guard(Ticket),
     GivesUp(Ticket),
-    ClientSees { ticket: Ticket, end: u8 },
+    ClientSees { ticket: Ticket, end: End },
     NodeTimer { node: usize, life: u32 },
     Refused(SendId),
     AtServer(SendId),
     Waits(SendId),
-    Answered { send: SendId, said: u8 },
+    Answered { send: SendId, said: Said },
     ServerWakes { server: usize, life: u32, turn: u64 },
     OriginEnds { server: usize, life: u32, job: u64 },
     Told { node: usize, life: u32, change: usize },
@@ -143,23 +142,15 @@
     nodes: Vec<Node>,
     machines: Vec<Machine>,
     by_id: HashMap<ServerId, usize>,
-    parts: Vec<ServerParts>,
     origin: Origin,
     tickets: Vec<Try>,
     sends: Vec<Sent>,
-    /// Jobs of servers by number: the number of a send.
+    /// What discovery has told, in its order.
     changes: Vec<Arc<[ServerEntry]>>,
     late: f64,
     record: Record,
 }
 
-const ENDS: [End; 4] = [End::None, End::Refused, End::Failed, End::Served];
-const SAID: [Said; 4] = [Said::Hit, Said::Miss, Said::Error, Said::Full];
-
-fn place_of<T: PartialEq>(all: &[T], one: &T) -> u8 {
-    all.iter().position(|other| other == one).unwrap_or(0) as u8
-}
-
 /// Mass of the first `first` of `all` objects whose popularity follows Zipf's law.
 fn popular_mass(first: f64, all: f64, zipf: f64) -> f64 {
     let sum = |n: f64| (1..=n as u64).map(|rank| (rank as f64).powf(-zipf)).sum::<f64>();
@@ -230,7 +221,6 @@
             nodes: Vec::new(),
             machines: Vec::new(),
             by_id: HashMap::new(),
-            parts: Vec::new(),
             origin: Origin::new(origin, draw::stream(seed, Stream::Origin)),
             tickets: Vec::new(),
             sends: Vec::new(),
@@ -263,7 +253,7 @@
             self.start_node(i);
         }
         for ask in 0..self.asks.len() {
-            self.at(self.asks[ask].at, Next::Arrive(ask));
+            self.at(self.asks[ask].at, Next::Try { ask });
         }
         self.at(WEIGHTS_EVERY, Next::Weights);
         if !self.arm.no_faults {
@@ -339,7 +329,6 @@
             ..ServerEntry::new(&name)
         };
         self.by_id.insert(id.clone(), i);
-        self.parts.push(parts.clone());
         self.machines.push(Machine {
             id,
             zone,
@@ -421,11 +410,11 @@
 
     fn step(&mut self, next: Next) {
         match next {
-            Next::Arrive(ask) | Next::Try { ask } => self.client_sends(ask),
+            Next::Try { ask } => self.client_sends(ask),
             Next::AtNode(ticket) => self.at_node(ticket),
             Next::Guard(ticket) => self.guard(ticket),
             Next::GivesUp(ticket) => self.client_sees(ticket, End::None),
-            Next::ClientSees { ticket, end } => self.client_sees(ticket, ENDS[end as usize]),
+            Next::ClientSees { ticket, end } => self.client_sees(ticket, end),
             Next::NodeTimer { node, life } => {
                 if self.nodes[node].life == life {
                     self.feed(node, NodeEvent::Timer);
@@ -437,7 +426,7 @@
                 let status = if self.sends[send].reached { Status::TimedOut } else { Status::ConnectError };
                 self.outcome(send, status, None);
             }
-            Next::Answered { send, said } => self.answered(send, SAID[said as usize]),
+            Next::Answered { send, said } => self.answered(send, said),
             Next::ServerWakes { server, life, turn } => {
                 if self.machines[server].life == life && !self.machines[server].silent {
                     let mut does = Vec::new();
@@ -477,7 +466,7 @@
         match node {
             Some(node) if self.nodes[node].died.is_none() => self.at(self.now + way, Next::AtNode(ticket)),
             // Refused by the machine of a process that is gone.
-            _ => self.at(self.now + 2 * way, Next::ClientSees { ticket, end: place_of(&ENDS, &End::Failed) }),
+            _ => self.at(self.now + 2 * way, Next::ClientSees { ticket, end: End::Failed }),
         }
         self.at(until, Next::GivesUp(ticket));
     }
@@ -509,7 +498,7 @@
     fn at_node(&mut self, ticket: Ticket) {
         if !self.alive(ticket) {
             let way = self.latency(CLIENT_US, ticket as u64);
-            return self.at(self.now + way, Next::ClientSees { ticket, end: place_of(&ENDS, &End::Failed) });
+            return self.at(self.now + way, Next::ClientSees { ticket, end: End::Failed });
         }
         let (ask, until) = (&self.asks[self.tickets[ticket].ask], self.tickets[ticket].until);
         let valid_until = until.saturating_sub(MARGIN);
@@ -571,7 +560,7 @@
                 .breaks(self.now, "final-answer", || format!("request {ticket} was answered twice"));
         }
         let way = self.latency(CLIENT_US, ticket as u64 ^ 1 << 40);
-        self.at(self.now + way, Next::ClientSees { ticket, end: place_of(&ENDS, &end) });
+        self.at(self.now + way, Next::ClientSees { ticket, end });
     }
 
     fn send(&mut self, node: usize, ticket: Ticket, server: &ServerId, timeout: Duration) {
@@ -706,7 +695,7 @@
         }
         if machine.availability != Availability::Ready {
             let way = self.way(self.tickets[ticket].node, server, send as u64);
-            let said = place_of(&SAID, &Said::Full);
+            let said = Said::Full;
             return self.at(self.now + way, Next::Answered { send, said });
         }
         let ask = &self.asks[self.tickets[ticket].ask];
@@ -741,7 +730,7 @@
                     let way = self.way(self.tickets[self.sends[send].ticket].node, server, job ^ 1 << 41);
                     // An error comes a little later than at once.
                     let way = way + if said == Said::Error { 3_000 } else { 0 };
-                    self.at(self.now + way, Next::Answered { send, said: place_of(&SAID, &said) });
+                    self.at(self.now + way, Next::Answered { send, said });
                 }
                 Does::Runs(job) => self.runs(job as usize),
                 Does::Asks { job } => {
@@ -936,7 +925,7 @@
             machine.silent = begins;
             machine.life += 1;
             if !begins {
-                machine.server = Server::new(self.parts[server].clone(), Some(self.now));
+                machine.server = machine.server.restarted(self.now);
                 machine.entry.started = Some(Timestamp::from_micros(EPOCH + self.now));
                 back.push(machine.entry.clone());
             }
@@ -989,7 +978,7 @@
             .collect();
         for ticket in lost.into_iter().rev() {
             let way = self.latency(CLIENT_US, ticket as u64 ^ 1 << 42);
-            self.at(self.now + way, Next::ClientSees { ticket, end: place_of(&ENDS, &End::Failed) });
+            self.at(self.now + way, Next::ClientSees { ticket, end: End::Failed });
         }
     }
 }
