Lab: take plan, servers with origin, and discovery out of the virtual driver

The real driver needs the same requests, machines, faults and lists as the virtual one, and they lay in its event loop. Plan (all that is drawn ahead), Fleet (servers, origin and their faults, sans-I/O) and Discovery (an agent for each node) are files of their own now; the virtual driver keeps nodes, clients and the network.

--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -3,6 +3,7 @@
 use crate::experiment::{Check, Experiment};
 use crate::model::clients::{Ask, Kind};
 use crate::model::{Micros, SECOND};
+use crate::plan::{Plan, LEAD};
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -157,7 +158,7 @@
     }
 
     /// Puts the figures together: what is asked from `lead` on counts.
-    pub fn figures(
+    fn figures(
         &self,
         asks: &[Ask],
         kinds: &[Kind],
@@ -224,9 +225,21 @@
         (figures.into(), series)
     }
 
-    /// The rules that were broken first.
-    pub fn broken(&self) -> &[Broken] {
-        &self.broken
+    /// What the run came to, in the arm of this name.
+    pub fn result(&self, plan: &Plan, arm: &str) -> Result {
+        let (figures, series) = self.figures(&plan.asks, &plan.kinds, LEAD);
+        Result {
+            experiment: plan.experiment.name.clone(),
+            arm: arm.to_owned(),
+            seed: plan.seed,
+            version: env!("CARGO_PKG_VERSION"),
+            requests: plan.asks.len(),
+            draws: plan.draws(),
+            checks: check(&plan.experiment, arm, &figures),
+            figures,
+            rules_broken: self.broken.clone(),
+            series,
+        }
     }
 }
 
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -4,6 +4,7 @@
 mod experiment;
 mod judge;
 mod model;
+mod plan;
 mod policies;
 mod world;
 
--- a/lab/src/model/mod.rs
+++ b/lab/src/model/mod.rs
@@ -1,6 +1,8 @@
 //! The outside systems, sans-I/O: time is an argument, in microseconds since the run began.
 
 pub mod clients;
+pub mod discovery;
+pub mod fleet;
 pub mod origin;
 pub mod server;
 
