Lab: clients repeat and stay away as the protocol says, and refusals are judged

The model's clients sent everything again whatever it was and stayed away for nobody, so a charge sent again by its client hid what nodes do, and a refusal of something that ran went unseen. The judges have a rule more: a refusal of what may have run.

--- a/lab/src/draw.rs
+++ b/lab/src/draw.rs
@@ -26,6 +26,8 @@
     Lists = 8,
     /// Which answers a server spoils.
     Errors = 9,
+    /// What clients are like.
+    Clients = 10,
 }
 
 /// A stream of draws in their order (xoshiro256++).
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -148,6 +148,8 @@
     /// What it waits before one.
     #[serde(with = "humantime_serde")]
     pub backoff: Duration,
+    /// Part of the clients that stay away for as long as a refusal tells them to.
+    pub heeds: f64,
 }
 
 impl Default for Load {
@@ -161,6 +163,7 @@
             drift: 0.002,
             retries: 2,
             backoff: Duration::from_millis(50),
+            heeds: 0.5,
         }
     }
 }
@@ -316,6 +319,7 @@
         within("load.zipf".into(), self.load.zipf, 0.0, 10.0);
         within("load.drift".into(), self.load.drift, 0.0, 1.0);
         within("load.retries".into(), self.load.retries.into(), 0.0, 10.0);
+        within("load.heeds".into(), self.load.heeds, 0.0, 1.0);
         for (i, trouble) in self.fault.iter().enumerate() {
             within(format!("fault {}: part", i + 1), trouble.part, 0.0, 1.0);
             within(format!("fault {}: size", i + 1), trouble.size, 0.0, 1e6);
--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -1,12 +1,13 @@
 //! Judges: the rules, checked from the lab's own record, and the figures of a run.
 
 use crate::experiment::{Check, Experiment};
-use crate::model::clients::{Ask, Kind};
-use crate::model::{Micros, SECOND};
+use crate::model::clients::{Ask, End, Kind};
+use crate::model::{micros, Micros, SECOND};
 use crate::plan::{Plan, LEAD};
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::collections::BTreeMap;
+use walkpick::{Effect, Scope};
 
 /// Broken rules that are told one by one; the others are counted.
 const TOLD: usize = 20;
@@ -34,7 +35,7 @@
 /// A broken rule.
 #[derive(Clone, Debug, Serialize)]
 pub struct Broken {
-    /// Which: final-answer, resend, drain, cold-server.
+    /// Which: final-answer, resend, refusal, drain, cold-server.
     pub rule: &'static str,
     /// When, in seconds.
     pub at_s: f64,
@@ -42,18 +43,24 @@
     pub what: String,
 }
 
-/// What became of a request.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub enum End {
-    /// Not over, or over with no answer.
-    #[default]
-    None,
-    /// Refused.
-    Refused,
-    /// Failed.
-    Failed,
-    /// Served.
-    Served,
+/// Whether a request of a class may be sent on again, or refused (rule on duplicated effects). `first`: when the
+/// first of its attempts that may have run, or are still out, was sent.
+pub fn may_repeat(effect: Effect, first: Option<Micros>, now: Micros) -> bool {
+    let Some(first) = first else { return true };
+    match effect {
+        Effect::Safe => true,
+        Effect::Unsafe => false,
+        Effect::Keyed { window, .. } => now < first + micros(window),
+    }
+}
+
+/// Whether a request of a class may be refused, where an attempt may have run or not.
+pub fn may_refuse(effect: Effect, may_have_run: bool) -> bool {
+    match effect {
+        Effect::Safe => true,
+        Effect::Unsafe => !may_have_run,
+        Effect::Keyed { scope, .. } => !may_have_run || scope == Scope::All,
+    }
 }
 
 /// What a run is told while it goes on.
@@ -173,8 +180,7 @@
             let kind = &kinds[ask.kind];
             let worth = kind.class.worth * ask.work_us / SECOND as f64;
             let took = at.map(|at| at.saturating_sub(ask.at));
-            let in_time =
-                end == End::Served && took.is_some_and(|took| took <= crate::model::micros(kind.class.aim));
+            let in_time = end == End::Served && took.is_some_and(|took| took <= micros(kind.class.aim));
             let served = if in_time { worth } else { 0.0 };
             let place = ((ask.at - lead) / SECOND) as usize;
             if series.len() <= place {
@@ -185,12 +191,12 @@
             second.served += served;
             second.requests += 1;
             second.refused += u32::from(end == End::Refused);
-            second.failed += u32::from(matches!(end, End::Failed | End::None));
+            second.failed += u32::from(matches!(end, End::Failed | End::Unreached | End::None));
             let class = &mut classes[ask.kind];
             *class = (class.0 + worth, class.1 + served, class.2 + 1);
             counted += 1;
             refused += u64::from(end == End::Refused);
-            failed += u64::from(matches!(end, End::Failed | End::None));
+            failed += u64::from(matches!(end, End::Failed | End::Unreached | End::None));
             if let (End::Served, Some(took), Some(times)) = (end, took, &mut times) {
                 times.saturating_record(took.max(1));
             }
--- a/lab/src/model/clients.rs
+++ b/lab/src/model/clients.rs
@@ -1,7 +1,7 @@
 //! Clients: arrivals drawn ahead, open loop; classes, popular keys that drift, patience, retries of their own
 //! (operators' page, "Request classes" and "What clients do").
 
-use super::{Micros, SECOND};
+use super::{micros, Micros, SECOND};
 use crate::draw::{self, Stream};
 use rand::Rng;
 use rand_distr::{Distribution, Zipf};
@@ -66,6 +66,35 @@
     pub hint_us: f64,
     /// How long its client waits for each try.
     pub patience: Micros,
+    /// Whether its client stays away for as long as it is told to.
+    pub heeds: bool,
+}
+
+/// What became of a request, or of one try.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum End {
+    /// Not over, or over with no answer.
+    #[default]
+    None,
+    /// No node could be reached.
+    Unreached,
+    /// Refused.
+    Refused,
+    /// Failed.
+    Failed,
+    /// Served.
+    Served,
+}
+
+/// Whether a client sends a request again that came to this end (protocol page, "Clients"). `since_first`: since it
+/// first sent it.
+pub fn repeats(effect: Effect, end: End, since_first: Micros) -> bool {
+    match (end, effect) {
+        (End::Served, _) => false,
+        (End::Refused | End::Unreached, _) | (_, Effect::Safe) => true,
+        (_, Effect::Keyed { scope, window }) => scope == Scope::All && since_first < micros(window),
+        (_, Effect::Unsafe) => false,
+    }
 }
 
 /// What is drawn.
@@ -87,6 +116,8 @@
     pub drift: f64,
     /// Parts of its class's deadline that a client waits for a try.
     pub try_share: (f64, f64),
+    /// Part of the clients that stay away for as long as they are told to.
+    pub heeds: f64,
 }
 
 /// All requests of a run, in their order.
@@ -105,7 +136,8 @@
         if when.random::<f64>() * (1.0 + load.swing) > 1.0 + load.swing * wave {
             continue;
         }
-        asks.push(ask(now, load, kinds, popularity.as_ref(), &mut what));
+        let heeds = draw::unit(seed, Stream::Clients, asks.len() as u64) < load.heeds;
+        asks.push(Ask { heeds, ..ask(now, load, kinds, popularity.as_ref(), &mut what) });
     }
 }
 
@@ -127,7 +159,7 @@
     let (least, span) = (load.try_share.0, load.try_share.1 - load.try_share.0);
     let share = least + what.random::<f64>() * span;
     let patience = (kinds[kind].class.deadline.as_micros() as f64 * share) as Micros;
-    Ask { at: now, kind, zone, key, work_us, hint_us, patience }
+    Ask { at: now, kind, zone, key, work_us, hint_us, patience, heeds: false }
 }
 
 #[cfg(test)]
@@ -144,9 +176,23 @@
             zipf: 0.9,
             drift: 0.0,
             try_share: (0.5, 0.6),
+            heeds: 0.5,
         }
     }
 
+    // Guards against clients that do what the protocol's clients never do: a charge sent again by its client would
+    // look like a node's.
+    #[test]
+    fn clients_repeat_what_does_no_harm_alone() {
+        let keyed = kinds()[3].class.effect;
+        let all = [Effect::Safe, Effect::Unsafe, keyed];
+        assert!(all.iter().all(|&effect| repeats(effect, End::Refused, 0)));
+        assert!(all.iter().all(|&effect| repeats(effect, End::Unreached, 0)));
+        assert!(all.iter().all(|&effect| !repeats(effect, End::Served, 0)));
+        assert_eq!(all.map(|effect| repeats(effect, End::None, 2 * SECOND)), [true, false, true]);
+        assert_eq!(all.map(|effect| repeats(effect, End::Failed, 4 * SECOND)), [true, false, false]);
+    }
+
     #[test]
     fn arrivals_keep_their_rate_their_classes_and_their_zones() {
         let asks = arrivals(1, 60 * SECOND, &load(), &kinds());
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -81,6 +81,7 @@
             zipf: experiment.load.zipf,
             drift: experiment.load.drift,
             try_share: (0.5, 0.6),
+            heeds: experiment.load.heeds,
         };
         let asks = clients::arrivals(seed, LEAD + micros(experiment.length), &load, &kinds);
         let writes = kinds.iter().filter(|kind| kind.write).map(|kind| kind.share).sum::<f64>() / shares;
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -3,7 +3,8 @@
 
 use crate::draw::{self, Stream};
 use crate::experiment::{Arm, Experiment, What};
-use crate::judge::{End, Record, Result};
+use crate::judge::{self, Record, Result};
+use crate::model::clients::{self, End};
 use crate::model::discovery::Discovery;
 use crate::model::fleet::{Come, Due, Fleet, Out};
 use crate::model::server::Said;
@@ -43,7 +44,7 @@
     AtNode(Ticket),
     Guard(Ticket),
     GivesUp(Ticket),
-    ClientSees { ticket: Ticket, end: End },
+    ClientSees { ticket: Ticket, end: End, stay: Micros },
     NodeTimer { node: usize, life: u32 },
     Refused(SendId),
     AtServer(SendId),
@@ -223,8 +224,8 @@
             Next::Try { ask } => self.client_sends(ask),
             Next::AtNode(ticket) => self.at_node(ticket),
             Next::Guard(ticket) => self.guard(ticket),
-            Next::GivesUp(ticket) => self.client_sees(ticket, End::None),
-            Next::ClientSees { ticket, end } => self.client_sees(ticket, end),
+            Next::GivesUp(ticket) => self.client_sees(ticket, End::None, 0),
+            Next::ClientSees { ticket, end, stay } => self.client_sees(ticket, end, stay),
             Next::NodeTimer { node, life } => {
                 if self.nodes[node].life == life {
                     self.feed(node, NodeEvent::Timer);
@@ -270,25 +271,27 @@
         match node {
             Some(node) if self.nodes[node].died.is_none() => self.at(self.now + way, Next::AtNode(ticket)),
             // Refused by the machine of a process that is gone.
-            _ => self.at(self.now + 2 * way, Next::ClientSees { ticket, end: End::Failed }),
+            _ => self.at(self.now + 2 * way, Next::ClientSees { ticket, end: End::Unreached, stay: 0 }),
         }
         self.at(until, Next::GivesUp(ticket));
     }
 
-    fn client_sees(&mut self, ticket: Ticket, end: End) {
+    fn client_sees(&mut self, ticket: Ticket, end: End, stay: Micros) {
         let held = &mut self.tickets[ticket];
         if std::mem::replace(&mut held.seen, true) {
             return;
         }
         let ask = held.ask;
         self.record.end(ask, end, self.now);
-        if end == End::Served || self.tries[ask] > self.plan.experiment.load.retries {
+        let (asked, load) = (&self.plan.asks[ask], &self.plan.experiment.load);
+        let class = &self.plan.kinds[asked.kind].class;
+        let again = clients::repeats(class.effect, end, self.now - asked.at);
+        if !again || self.tries[ask] > load.retries {
             return;
         }
-        let again = self.now + micros(self.plan.experiment.load.backoff).max(1);
-        let deadline =
-            self.plan.asks[ask].at + micros(self.plan.kinds[self.plan.asks[ask].kind].class.deadline);
-        if again < deadline {
+        let stay = if asked.heeds { stay } else { 0 };
+        let again = self.now + micros(load.backoff).max(stay).max(1);
+        if again < asked.at + micros(class.deadline) {
             self.at(again, Next::Try { ask });
         }
     }
@@ -303,7 +306,7 @@
     fn at_node(&mut self, ticket: Ticket) {
         if !self.alive(ticket) {
             let way = self.plan.latency(CLIENT_US, ticket as u64);
-            return self.at(self.now + way, Next::ClientSees { ticket, end: End::Failed });
+            return self.at(self.now + way, Next::ClientSees { ticket, end: End::Unreached, stay: 0 });
         }
         let (ask, until) = (&self.plan.asks[self.tickets[ticket].ask], self.tickets[ticket].until);
         let valid_until = until.saturating_sub(MARGIN);
@@ -341,8 +344,8 @@
     fn carry_out(&mut self, node: usize, action: Action) {
         match action {
             Action::Send { id, server, timeout } => self.send(node, ticket_of(&id), &server, timeout),
-            Action::Refuse { id, .. } => self.answer(ticket_of(&id), End::Refused),
-            Action::Fail { id } => self.answer(ticket_of(&id), End::Failed),
+            Action::Refuse { id, retry_after } => self.refuse(node, ticket_of(&id), retry_after),
+            Action::Fail { id } => self.answer(ticket_of(&id), End::Failed, 0),
             Action::Wake { after } => {
                 let life = self.nodes[node].life;
                 self.at(self.now + micros(after).max(1), Next::NodeTimer { node, life });
@@ -358,14 +361,31 @@
         }
     }
 
-    fn answer(&mut self, ticket: Ticket, end: End) {
+    fn refuse(&mut self, node: usize, ticket: Ticket, stay: Duration) {
+        let class = &self.plan.kinds[self.plan.asks[self.tickets[ticket].ask].kind].class;
+        if !judge::may_refuse(class.effect, self.first_run(ticket).is_some()) {
+            let name = class.name.as_str();
+            self.record.breaks(self.now, "refusal", || {
+                format!("request {ticket} ({name}) was refused by n{node} though it may have run")
+            });
+        }
+        self.answer(ticket, End::Refused, micros(stay));
+    }
+
+    /// When the first attempt of a request was sent that is still out or may have run.
+    fn first_run(&self, ticket: Ticket) -> Option<Micros> {
+        let sends = self.tickets[ticket].sends.iter().map(|&send| &self.sends[send]);
+        sends.filter(|sent| !sent.ended || sent.may_have_run).map(|sent| sent.at).min()
+    }
+
+    fn answer(&mut self, ticket: Ticket, end: End, stay: Micros) {
         if std::mem::replace(&mut self.tickets[ticket].answered, true) {
             return self
                 .record
                 .breaks(self.now, "final-answer", || format!("request {ticket} was answered twice"));
         }
         let way = self.plan.latency(CLIENT_US, ticket as u64 ^ 1 << 40);
-        self.at(self.now + way, Next::ClientSees { ticket, end });
+        self.at(self.now + way, Next::ClientSees { ticket, end, stay });
     }
 
     fn send(&mut self, node: usize, ticket: Ticket, server: &ServerId, timeout: Duration) {
@@ -428,16 +448,8 @@
                 format!("request {ticket} went to {name} {after} ms after n{node} was told that it drains or is gone")
             });
         }
-        let earlier = self.tickets[ticket].sends.iter().map(|&send| &self.sends[send]);
-        let first = earlier.filter(|sent| !sent.ended || sent.may_have_run).map(|sent| sent.at).min();
-        let Some(first) = first else { return };
         let class = &self.plan.kinds[kind].class;
-        let allowed = match class.effect {
-            Effect::Safe => true,
-            Effect::Unsafe => false,
-            Effect::Keyed { window, .. } => self.now < first + micros(window),
-        };
-        if !allowed {
+        if !judge::may_repeat(class.effect, self.first_run(ticket), self.now) {
             let name = class.name.as_str();
             self.record.breaks(self.now, "resend", || {
                 format!("request {ticket} ({name}) was sent again by n{node} though it may have run")
@@ -471,7 +483,7 @@
         }
         if status == Status::Ok && !self.tickets[ticket].answered {
             self.sends[send].used = true;
-            self.answer(ticket, End::Served);
+            self.answer(ticket, End::Served, 0);
             let write = self.plan.kinds[self.plan.asks[self.tickets[ticket].ask].kind].write;
             if !write {
                 self.record.reads.0 += 1;
@@ -624,7 +636,7 @@
             .collect();
         for ticket in lost.into_iter().rev() {
             let way = self.plan.latency(CLIENT_US, ticket as u64 ^ 1 << 42);
-            self.at(self.now + way, Next::ClientSees { ticket, end: End::Failed });
+            self.at(self.now + way, Next::ClientSees { ticket, end: End::Failed, stay: 0 });
         }
     }
 }
