Lab: a real driver, with real nodes, relays for links, and faults on processes

Need: the lab ran decision modules in simulated time only; nothing that a process, a socket or a signal does could be rehearsed.

The real driver runs real nodes on loopback between the same model: servers, discovery's agents and clients speak HTTP/1.1 (hyper) at addresses of each pair's own, so every link is a relay that delays, loses, resets, falls silent (connections then never come up) or is down. Faults on processes (kill, SIGTERM, pause, a share of time, reload with a moved address, restart one by one, a clock that is off) and on links (either direction, flapping) are on the schedule; both drivers know them but for node-slow, which needs a process. Nodes are held by a prctl so that a killed lab leaves none behind; their ports are kept by a bound socket; the lab measures its own lateness and voids a run that was late. Ctrl-C keeps what was measured. Links to other nodes (TCP and UDP) are there for what comes next.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -55,6 +55,12 @@
     /// How long clients come.
     #[serde(with = "humantime_serde")]
     pub length: Duration,
+    /// Before that nothing counts: memories fill, and nodes meet their servers. Faults count their time from its end.
+    #[serde(with = "humantime_serde", default = "lead")]
+    pub lead: Duration,
+    /// How it is carried out where nothing else is asked for.
+    #[serde(default)]
+    pub driver: Driver,
     /// The machines.
     #[serde(default)]
     pub deployment: Deployment,
@@ -127,6 +133,27 @@
     }
 }
 
+/// How an experiment is carried out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize, clap::ValueEnum)]
+#[serde(rename_all = "kebab-case")]
+pub enum Driver {
+    /// Decision modules in simulated time.
+    #[default]
+    Virtual,
+    /// Real nodes on loopback sockets, in real time.
+    Real,
+}
+
+impl Driver {
+    /// As it is written.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Virtual => "virtual",
+            Self::Real => "real",
+        }
+    }
+}
+
 /// What clients bring.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -184,12 +211,83 @@
     ServersReplaced,
     /// Nodes are killed; at the end they start anew.
     NodeKilled,
+    /// Nodes are told to go (SIGTERM), and killed where they don't; at the end they start anew.
+    NodeTerminated,
+    /// Nodes are restarted, one after the other over the time.
+    NodesRolled,
+    /// Nodes stand still (SIGSTOP), and go on at the end.
+    NodePaused,
+    /// Nodes get `size` (a part) of the processor time.
+    NodeSlow,
+    /// Discovery's address moves, and nodes are told to reload (SIGHUP).
+    NodeReloaded,
+    /// Nodes' clocks are `size` seconds ahead, as far as what discovery tells them shows it.
+    NodeClock,
+    /// Links do what `link` says.
+    Link,
     /// The origin takes `size` times as long.
     OriginSlow,
     /// Lists come `size` times as late.
     DiscoveryLate,
 }
 
+/// What nodes have a link with.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Party {
+    /// Clients, which connect to nodes.
+    Client,
+    /// Cache servers.
+    #[default]
+    Server,
+    /// Discovery.
+    Discovery,
+}
+
+/// Which direction of a link, as the party that connects sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Direction {
+    /// Both.
+    #[default]
+    Both,
+    /// From the party that connects.
+    There,
+    /// To it.
+    Back,
+}
+
+/// What links do.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LinkTrouble {
+    /// Links of nodes to whom.
+    pub to: Party,
+    /// In which direction.
+    pub direction: Direction,
+    /// Which part of the servers it meets.
+    pub other_part: f64,
+    /// Everything takes so much longer.
+    #[serde(with = "humantime_serde")]
+    pub delay: Duration,
+    /// And up to so much more, by chance.
+    #[serde(with = "humantime_serde")]
+    pub jitter: Duration,
+    /// Part of what is sent that is lost: on a stream it comes again later.
+    pub loss: f64,
+    /// Part of the datagrams that come twice.
+    pub duplicate: f64,
+    /// Part of the datagrams that come after those behind them.
+    pub reorder: f64,
+    /// Nothing gets through.
+    pub silent: bool,
+    /// Open connections are reset at the beginning.
+    pub reset: bool,
+    /// It goes on and off in turns of this length.
+    #[serde(with = "humantime_serde", skip_serializing_if = "Option::is_none")]
+    pub flap: Option<Duration>,
+}
+
 /// One fault on the schedule. Faults may overlap.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -209,8 +307,22 @@
     #[serde(default = "one")]
     pub size: f64,
     /// Which class alone, where it meets one alone.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub class: Option<String>,
+    /// What links do.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub link: Option<LinkTrouble>,
+}
+
+impl What {
+    /// Whether a fault of this kind happens to links.
+    fn on_links(self) -> bool {
+        self == Self::Link
+    }
+}
+
+fn lead() -> Duration {
+    Duration::from_secs(10)
 }
 
 fn one() -> f64 {
@@ -255,8 +367,11 @@
     /// The figure; `rules` counts broken rules.
     pub figure: String,
     /// In which arm; in each where it is missing.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub arm: Option<String>,
+    /// Under which driver; under each where it is missing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub driver: Option<Driver>,
     /// It is no less than this.
     #[serde(default)]
     pub at_least: Option<f64>,
@@ -305,6 +420,7 @@
         };
         let Deployment { nodes, servers, zones, cores, memory, .. } = self.deployment;
         within("length".into(), self.length.as_secs_f64(), 1.0, 3600.0);
+        within("lead".into(), self.lead.as_secs_f64(), 0.0, 60.0);
         within("deployment.nodes".into(), nodes.into(), 1.0, 10_000.0);
         within("deployment.servers".into(), servers.into(), 1.0, 10_000.0);
         within("deployment.zones".into(), zones.into(), 1.0, servers.min(nodes).max(1).into());
@@ -325,9 +441,26 @@
             within(format!("fault {}: size", i + 1), trouble.size, 0.0, 1e6);
             let (from, to) = (trouble.from.as_secs_f64(), trouble.to.as_secs_f64());
             within(format!("fault {}: to", i + 1), to, from, self.length.as_secs_f64());
+            if let Some(link) = &trouble.link {
+                for (name, part) in [
+                    ("other_part", link.other_part),
+                    ("loss", link.loss),
+                    ("duplicate", link.duplicate),
+                    ("reorder", link.reorder),
+                ] {
+                    within(format!("fault {}: link.{name}", i + 1), part, 0.0, 1.0);
+                }
+            }
         }
         let kinds = crate::model::clients::kinds();
         for (i, trouble) in self.fault.iter().enumerate() {
+            if trouble.what.on_links() != trouble.link.is_some() {
+                let what = match trouble.link {
+                    Some(_) => "found [fault.link], expected it with what = \"link\" alone",
+                    None => "found no [fault.link], expected what the links do",
+                };
+                faults.push(Fault { place: format!("fault {}: link", i + 1), what: what.to_owned() });
+            }
             if let Some(class) = &trouble.class {
                 if !kinds.iter().any(|kind| kind.class.name.as_str() == class) {
                     let names: Vec<_> = kinds.iter().map(|kind| kind.class.name.to_string()).collect();
--- a/lab/src/model/mod.rs
+++ b/lab/src/model/mod.rs
@@ -3,6 +3,7 @@
 pub mod clients;
 pub mod discovery;
 pub mod fleet;
+pub mod links;
 pub mod origin;
 pub mod server;
 
--- a/lab/src/policies.rs
+++ b/lab/src/policies.rs
@@ -1,13 +1,17 @@
 //! Decision modules that an arm may run: the program's own, baselines, and broken ones for the judges to catch.
 
+use crate::draw::{self, Stream};
 use crate::experiment::Policy;
+use crate::model::fleet::Fleet;
+use crate::model::SECOND;
+use crate::plan::Plan;
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::SplitMix64;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 use walkpick::{
-    Action, Availability, Balancer, Class, Effect, Event, Outcome, Request, RequestId, ServerEntry, ServerId,
-    ServerList, Settings, Status, Timestamp,
+    Action, Availability, Balancer, Class, ClassId, Effect, Event, LoadReport, Note, Outcome, Request,
+    RequestId, ServerEntry, ServerId, ServerList, Settings, Status, Timestamp,
 };
 
 /// A decision module, as a node hosts it.
@@ -39,6 +43,37 @@
     }
 }
 
+/// Servers hold what they were asked for lately: each object where a module of this arm sends it, the most popular ones
+/// last.
+pub fn fill(plan: &Plan, policy: Policy, fleet: &mut Fleet) {
+    let mut module = build(policy, plan.settings.clone(), plan.seed);
+    let (mut now, mut actions) = (0, Vec::new());
+    let list = fleet.entries().into();
+    module.handle(Timestamp::from_micros(now), Event::Restored(list), &mut actions);
+    for rank in (1..=plan.keys).rev() {
+        let key = draw::unit(0, Stream::Requests, rank % plan.keys).to_bits();
+        let id = RequestId::from(rank.to_string().as_str());
+        let valid_until = Timestamp::from_micros(now + SECOND);
+        let request =
+            Request { class: Some(ClassId(0)), key: Some(key), ..Request::new(id.as_str(), valid_until) };
+        actions.clear();
+        module.handle(Timestamp::from_micros(now), Event::Request(request), &mut actions);
+        now += 1_000;
+        let sent = actions.iter().find_map(|action| match action {
+            Action::Send { server, .. } => Some(server.clone()),
+            _ => None,
+        });
+        let Some(server) = sent else { continue };
+        if let Some(place) = fleet.place(&server) {
+            fleet.machines[place].server.keep(key);
+        }
+        let (took, load) = (Duration::from_millis(1), LoadReport::default());
+        let (status, note) = (Status::Ok, Some(Note::Hit));
+        let outcome = Outcome { id, attempt: 0, server, status, note, took, finished: true, load };
+        module.handle(Timestamp::from_micros(now), Event::Outcome(outcome), &mut actions);
+    }
+}
+
 /// Shows its module every server as ready.
 struct NeverDrains(Balancer);
 
--- /dev/null
+++ b/lab/src/real/link.rs
@@ -0,0 +1,579 @@
+//! Links between parties: relays in this process that delay, drop, reset or fall silent, in each direction by itself.
+//!
+//! A link carries bytes of TCP connections ([`Door`], [`dial`]) or datagrams of UDP ([`datagrams`]). What a relay holds
+//! is bounded, and belongs to one connection: a process started anew under the same address never sees it. What a real
+//! network does to segments a stream shows as time: a lost segment comes again after [`AGAIN`].
+
+use crate::model::links::{Way, Ways, AGAIN};
+use rand::{Rng, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use socket2::{Domain, SockRef, Socket, Type};
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{split, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, sleep_until, Instant};
+use tracing::warn;
+
+/// Bytes that one read takes, and pieces that may wait in one direction.
+const PIECE: usize = 16 * 1024;
+const PIECES: usize = 16;
+/// Datagrams that may be on their way in one direction; the next ones are lost.
+const DATAGRAMS: usize = 1_024;
+const BACKLOG: i32 = 1_024;
+/// Wait before a link tries again to listen.
+const RETRY: Duration = Duration::from_millis(10);
+
+/// What a link does at present.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Conditions {
+    /// Its two directions.
+    pub ways: Ways,
+    /// Nobody listens: connections are refused.
+    pub down: bool,
+    /// Each time this grows, all open connections are reset.
+    pub resets: u64,
+}
+
+/// The end that sets what a link does.
+#[derive(Clone, Debug)]
+pub struct Link {
+    conditions: watch::Sender<Conditions>,
+    seed: u64,
+}
+
+impl Link {
+    /// A good link whose chances come from this seed.
+    pub fn new(seed: u64) -> Self {
+        Self { conditions: watch::Sender::new(Conditions::default()), seed }
+    }
+
+    /// Changes what it does.
+    pub fn set(&self, change: impl FnOnce(&mut Conditions)) {
+        self.conditions.send_modify(change);
+    }
+
+    /// Whether it does this already, resets apart.
+    pub fn is(&self, other: &Conditions) -> bool {
+        let now = *self.conditions.borrow();
+        Conditions { resets: other.resets, ..now } == *other
+    }
+
+    fn watch(&self) -> watch::Receiver<Conditions> {
+        self.conditions.subscribe()
+    }
+}
+
+/// Keeps a port for whoever may listen there later, so that nobody takes it meanwhile: a bound socket that never
+/// listens. Programs that bind with SO_REUSEADDR, as tokio's and std's listeners do, can listen beside it.
+#[derive(Debug)]
+pub struct Reserved {
+    _socket: Socket,
+    address: SocketAddr,
+}
+
+impl Reserved {
+    /// A free port of the loopback.
+    pub fn tcp() -> io::Result<Self> {
+        let socket = bound("127.0.0.1:0".parse().map_err(io::Error::other)?)?;
+        let address = socket.local_addr()?.as_socket().ok_or_else(|| io::Error::other("no address"))?;
+        Ok(Self { _socket: socket, address })
+    }
+
+    /// Where it is.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+fn bound(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
+/// What takes the connections of a door that leads into this process.
+pub type Take = Rc<dyn Fn(DuplexStream)>;
+
+/// Where a door leads.
+#[derive(Clone)]
+pub enum Far {
+    /// Into this process.
+    Here(Take),
+    /// To another process.
+    There(SocketAddr),
+}
+
+/// A listener at the near end of a link.
+#[derive(Debug)]
+pub struct Door {
+    reserved: Reserved,
+}
+
+impl Door {
+    /// Opens one; it stands as long as the runtime does.
+    pub fn open(link: &Link, far: Far) -> io::Result<Self> {
+        let reserved = Reserved::tcp()?;
+        let listener = listen(reserved.address())?;
+        spawn_local(keep(reserved.address(), listener, link.clone(), far));
+        Ok(Self { reserved })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.reserved.address()
+    }
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = bound(address)?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Accepts while the link carries. While it is silent connections never come up: the machine's queue of them is made
+/// as short as it can be, and filled. While it is down they are refused.
+async fn keep(address: SocketAddr, first: TcpListener, link: Link, far: Far) {
+    let mut conditions = link.watch();
+    let mut listener = Some(first);
+    loop {
+        let now = *conditions.borrow_and_update();
+        if now.down {
+            listener = None;
+            if conditions.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        let open = match listener.take().map_or_else(|| listen(address), Ok) {
+            Ok(open) => open,
+            Err(error) => {
+                warn!(%address, %error, "a link cannot listen");
+                sleep(RETRY).await;
+                continue;
+            }
+        };
+        if now.ways.silent() {
+            let held = mute(&open, address);
+            if conditions.wait_for(|now| !now.ways.silent() || now.down).await.is_err() {
+                return;
+            }
+            drop(held);
+            // What waited meanwhile is reset, as by a machine that is back. The new listener has a queue of its own.
+            drop(open);
+            continue;
+        }
+        tokio::select! {
+            accepted = open.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    spawn_local(come(stream, far.clone(), link.clone()));
+                }
+            }
+            changed = conditions.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+        listener = Some(open);
+    }
+}
+
+/// Fills a listener's queue, so that the machine answers no further connection.
+fn mute(listener: &TcpListener, address: SocketAddr) -> Vec<Socket> {
+    let shortened = SockRef::from(listener).listen(0);
+    let fill = || {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).ok()?;
+        socket.set_nonblocking(true).ok()?;
+        // It goes on in the background, which is an error by name.
+        let _ = socket.connect(&address.into());
+        Some(socket)
+    };
+    shortened.map_or_else(|_| Vec::new(), |()| (0..2).filter_map(|_| fill()).collect())
+}
+
+/// Connects to a process over a link, and gives back this process's end of it.
+pub async fn dial(target: SocketAddr, link: &Link) -> io::Result<DuplexStream> {
+    let mut conditions = link.watch();
+    if conditions.wait_for(|now| !now.ways.silent()).await.is_err() {
+        return Err(io::ErrorKind::TimedOut.into());
+    }
+    let now = *conditions.borrow();
+    if now.down {
+        return Err(io::ErrorKind::ConnectionRefused.into());
+    }
+    // A connection is up after a way there and a way back.
+    sleep(now.ways.there.delay + now.ways.back.delay).await;
+    let stream = TcpStream::connect(target).await?;
+    let (near, far) = tokio::io::duplex(PIECE);
+    let link = link.clone();
+    spawn_local(async move {
+        let reset = SockRef::from(&stream).try_clone();
+        let ended = both(near, stream, link).await;
+        abort(reset, ended);
+    });
+    Ok(far)
+}
+
+/// A connection that has come up at a door.
+async fn come(socket: TcpStream, far: Far, link: Link) {
+    let _ = socket.set_nodelay(true);
+    let reset = SockRef::from(&socket).try_clone();
+    let ended = match far {
+        Far::Here(take) => {
+            let (near, far) = tokio::io::duplex(PIECE);
+            take(far);
+            both(socket, near, link).await
+        }
+        Far::There(target) => match TcpStream::connect(target).await {
+            Ok(target) => {
+                let _ = target.set_nodelay(true);
+                let also = SockRef::from(&target).try_clone();
+                let ended = both(socket, target, link).await;
+                if ended.is_err() {
+                    abort(also, Err(io::ErrorKind::ConnectionReset.into()));
+                }
+                ended
+            }
+            Err(error) => Err(error),
+        },
+    };
+    abort(reset, ended);
+}
+
+/// A connection that did not end well is reset: its peer must not take it for an orderly end.
+fn abort(socket: io::Result<Socket>, ended: io::Result<()>) {
+    if let (Ok(socket), Err(_)) = (socket, ended) {
+        let _ = socket.set_linger(Some(Duration::ZERO));
+    }
+}
+
+/// Carries both directions until both have ended, or the link resets.
+async fn both(
+    near: impl AsyncRead + AsyncWrite,
+    far: impl AsyncRead + AsyncWrite,
+    link: Link,
+) -> io::Result<()> {
+    let mut conditions = link.watch();
+    let resets = conditions.borrow_and_update().resets;
+    let reset = conditions.wait_for(|now| now.down || now.resets != resets);
+    let ((near_in, near_out), (far_in, far_out)) = (split(near), split(far));
+    let there = carry(near_in, far_out, link.watch(), |now| now.ways.there, link.seed);
+    let back = carry(far_in, near_out, link.watch(), |now| now.ways.back, !link.seed);
+    tokio::select! {
+        ended = async { tokio::try_join!(there, back) } => ended.map(|_| ()),
+        _ = reset => Err(io::ErrorKind::ConnectionReset.into()),
+    }
+}
+
+/// One direction of a connection, in order.
+async fn carry(
+    mut from: impl AsyncRead + Unpin,
+    mut to: impl AsyncWrite + Unpin,
+    mut conditions: watch::Receiver<Conditions>,
+    way: fn(&Conditions) -> Way,
+    seed: u64,
+) -> io::Result<()> {
+    let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
+    // An empty piece is the end.
+    let mut queue: VecDeque<(Instant, Vec<u8>)> = VecDeque::new();
+    let (mut last, mut buffer, mut open) = (Instant::now(), vec![0; PIECE], true);
+    loop {
+        let now = way(&conditions.borrow_and_update());
+        let due = queue.front().map(|(due, _)| *due);
+        tokio::select! {
+            biased;
+            changed = conditions.changed() => {
+                if changed.is_err() {
+                    return Err(io::ErrorKind::ConnectionReset.into());
+                }
+            }
+            () = sleep_until(due.unwrap_or(last)), if due.is_some() && !now.silent => {
+                let Some((_, piece)) = queue.pop_front() else { continue };
+                if piece.is_empty() {
+                    return to.shutdown().await;
+                }
+                to.write_all(&piece).await?;
+            }
+            read = from.read(&mut buffer), if open && queue.len() < PIECES && !now.silent => {
+                let read = read?;
+                open = read > 0;
+                let at = Instant::now() + now.takes(&mut random);
+                let piece = buffer[..read].to_vec();
+                // Nothing on it overtakes.
+                last = last.max(at);
+                queue.push_back((last, piece));
+            }
+        }
+    }
+}
+
+/// A link for datagrams between two processes. Returns where each of the two reaches the other: what the first sends to
+/// the first address comes to the second from the second address, and back.
+pub async fn datagrams(link: &Link, parties: [SocketAddr; 2]) -> io::Result<[SocketAddr; 2]> {
+    let (one, two) =
+        (Rc::new(UdpSocket::bind("127.0.0.1:0").await?), Rc::new(UdpSocket::bind("127.0.0.1:0").await?));
+    let reached = [one.local_addr()?, two.local_addr()?];
+    spawn_local(carry_datagrams(
+        one.clone(),
+        two.clone(),
+        parties[1],
+        link.watch(),
+        |now| now.ways.there,
+        link.seed,
+    ));
+    spawn_local(carry_datagrams(two, one, parties[0], link.watch(), |now| now.ways.back, !link.seed));
+    Ok(reached)
+}
+
+async fn carry_datagrams(
+    from: Rc<UdpSocket>,
+    to: Rc<UdpSocket>,
+    target: SocketAddr,
+    mut conditions: watch::Receiver<Conditions>,
+    way: fn(&Conditions) -> Way,
+    seed: u64,
+) {
+    let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
+    let mut buffer = vec![0; 64 * 1024];
+    let mut queue: Vec<(Instant, Vec<u8>)> = Vec::new();
+    loop {
+        let next =
+            queue.iter().enumerate().min_by_key(|(_, (at, _))| *at).map(|(place, (at, _))| (place, *at));
+        tokio::select! {
+            changed = conditions.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+            () = sleep_until(next.map_or_else(Instant::now, |next| next.1)), if next.is_some() => {
+                let (_, datagram) = queue.swap_remove(next.map_or(0, |next| next.0));
+                // What is on its way when silence falls is lost, and so is what nobody takes.
+                if !way(&conditions.borrow()).silent {
+                    let _ = to.send_to(&datagram, target).await;
+                }
+            }
+            received = from.recv_from(&mut buffer) => {
+                let Ok((length, _)) = received else { continue };
+                let now = way(&conditions.borrow());
+                if now.silent || random.random::<f64>() < now.loss {
+                    continue;
+                }
+                let copies = 1 + usize::from(random.random::<f64>() < now.duplicate);
+                for _ in 0..copies {
+                    let overtaken = random.random::<f64>() < now.reorder;
+                    let late = if overtaken { AGAIN / 4 } else { Duration::ZERO };
+                    let at = Instant::now() + now.delay + now.jitter.mul_f64(random.random()) + late;
+                    if queue.len() < DATAGRAMS {
+                        queue.push((at, buffer[..length].to_vec()));
+                    }
+                }
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::{Cell, RefCell};
+    use tokio::task::LocalSet;
+    use tokio::time::timeout;
+
+    const PATIENCE: Duration = Duration::from_secs(60);
+
+    /// A door whose far end sends back what comes, and counts connections.
+    fn echo(link: &Link) -> (Door, Rc<Cell<u32>>) {
+        let count = Rc::new(Cell::new(0));
+        let counted = count.clone();
+        let take: Take = Rc::new(move |stream: DuplexStream| {
+            counted.set(counted.get() + 1);
+            spawn_local(async move {
+                let (mut from, mut to) = tokio::io::split(stream);
+                let _ = tokio::io::copy(&mut from, &mut to).await;
+                let _ = to.shutdown().await;
+            });
+        });
+        (Door::open(link, Far::Here(take)).unwrap(), count)
+    }
+
+    async fn said(stream: &mut TcpStream, text: &[u8]) -> io::Result<Vec<u8>> {
+        stream.write_all(text).await?;
+        let mut answer = vec![0; text.len()];
+        timeout(PATIENCE, stream.read_exact(&mut answer)).await??;
+        Ok(answer)
+    }
+
+    #[tokio::test]
+    async fn a_good_link_carries_both_ways_and_ends_in_order() {
+        LocalSet::new()
+            .run_until(async {
+                let link = Link::new(1);
+                let (door, _) = echo(&link);
+                let mut stream = TcpStream::connect(door.address()).await.unwrap();
+                assert_eq!(said(&mut stream, b"hello").await.unwrap(), b"hello");
+                stream.shutdown().await.unwrap();
+                assert_eq!(timeout(PATIENCE, stream.read(&mut [0; 1])).await.unwrap().unwrap(), 0);
+            })
+            .await;
+    }
+
+    // Guards against a partition that lets connections come up, or one that keeps what was held for a later process.
+    #[tokio::test]
+    async fn a_silent_link_brings_up_no_connection_and_one_that_is_down_refuses() {
+        LocalSet::new()
+            .run_until(async {
+                let link = Link::new(1);
+                let (door, count) = echo(&link);
+                let mut old = TcpStream::connect(door.address()).await.unwrap();
+                assert_eq!(said(&mut old, b"1").await.unwrap(), b"1");
+                link.set(|now| now.ways.there.silent = true);
+                // The door needs a turn to see it; from then on nothing comes up.
+                tokio::task::yield_now().await;
+                let short = Duration::from_millis(300);
+                let mut tried = 0;
+                while timeout(short, TcpStream::connect(door.address())).await.is_ok() {
+                    tried += 1;
+                    assert!(tried < 20, "connections still come up");
+                }
+                old.write_all(b"2").await.unwrap();
+                assert!(timeout(short, old.read(&mut [0; 1])).await.is_err(), "silence");
+                link.set(|now| {
+                    now.ways.there.silent = false;
+                    now.resets += 1;
+                });
+                assert!(timeout(PATIENCE, old.read(&mut [0; 1])).await.unwrap().is_err(), "reset, not ended");
+                let before = count.get();
+                let mut new = loop {
+                    match TcpStream::connect(door.address()).await {
+                        Ok(stream) => break stream,
+                        Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+                    }
+                };
+                assert_eq!(said(&mut new, b"3").await.unwrap(), b"3");
+                assert_eq!(count.get(), before + 1, "nothing of before is delivered");
+                link.set(|now| now.down = true);
+                assert!(timeout(PATIENCE, new.read(&mut [0; 1])).await.unwrap().is_err());
+                let refused = loop {
+                    match TcpStream::connect(door.address()).await {
+                        Err(error) => break error,
+                        Ok(_) => tokio::task::yield_now().await,
+                    }
+                };
+                assert_eq!(refused.kind(), io::ErrorKind::ConnectionRefused);
+            })
+            .await;
+    }
+
+    // Guards against a relay that holds more and more for a peer that does not read.
+    #[tokio::test(start_paused = true)]
+    async fn a_direction_holds_a_bounded_number_of_pieces() {
+        let link = Link::new(1);
+        link.set(|now| now.ways.there.delay = Duration::from_secs(3_600));
+        let (mut writer, near) = tokio::io::duplex(1);
+        let (far, _reader) = tokio::io::duplex(1);
+        let way = |now: &Conditions| now.ways.there;
+        let carrying = carry(near, far, link.watch(), way, 1);
+        let taken = RefCell::new(0);
+        let writing = async {
+            while writer.write_all(b"x").await.is_ok() {
+                *taken.borrow_mut() += 1;
+            }
+        };
+        tokio::select! {
+            _ = carrying => panic!("it ended"),
+            () = writing => panic!("it ended"),
+            () = tokio::time::sleep(Duration::from_secs(60)) => {}
+        }
+        assert!(*taken.borrow() <= PIECES + 2, "{}", taken.borrow());
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn delay_and_loss_take_time_and_keep_the_order() {
+        let link = Link::new(1);
+        let lossy = Way {
+            delay: Duration::from_millis(30),
+            jitter: Duration::from_millis(50),
+            loss: 0.3,
+            ..Way::default()
+        };
+        link.set(|now| now.ways.there = lossy);
+        let (mut writer, near) = tokio::io::duplex(1);
+        let (far, mut reader) = tokio::io::duplex(64);
+        let start = Instant::now();
+        let carrying = carry(near, far, link.watch(), |now| now.ways.there, 1);
+        let text: Vec<u8> = (0..40).collect();
+        let writing = async {
+            writer.write_all(&text).await.unwrap();
+            drop(writer);
+        };
+        let mut read = Vec::new();
+        let (carried, (), ended) = tokio::join!(carrying, writing, reader.read_to_end(&mut read));
+        carried.unwrap();
+        ended.unwrap();
+        assert_eq!(read, text);
+        assert!(start.elapsed() >= Duration::from_millis(230), "{:?}", start.elapsed());
+    }
+
+    // Guards against bytes of an old connection in a new process, and a lost process that looks like an orderly end.
+    #[tokio::test]
+    async fn a_relay_to_a_process_that_is_gone_resets() {
+        LocalSet::new()
+            .run_until(async {
+                let target = TcpListener::bind("127.0.0.1:0").await.unwrap();
+                let link = Link::new(1);
+                let door = Door::open(&link, Far::There(target.local_addr().unwrap())).unwrap();
+                let mut stream = TcpStream::connect(door.address()).await.unwrap();
+                let (mut there, _) = target.accept().await.unwrap();
+                stream.write_all(b"x").await.unwrap();
+                timeout(PATIENCE, there.read_exact(&mut [0; 1])).await.unwrap().unwrap();
+                drop(target);
+                SockRef::from(&there).set_linger(Some(Duration::ZERO)).unwrap();
+                drop(there);
+                assert!(timeout(PATIENCE, stream.read(&mut [0; 1])).await.unwrap().is_err());
+                let mut late = TcpStream::connect(door.address()).await.unwrap();
+                assert!(timeout(PATIENCE, late.read(&mut [0; 1])).await.unwrap().is_err());
+            })
+            .await;
+    }
+
+    #[tokio::test]
+    async fn datagrams_come_from_where_their_sender_is_reached_and_are_lost_in_silence() {
+        LocalSet::new()
+            .run_until(async {
+                let (one, two) = (
+                    UdpSocket::bind("127.0.0.1:0").await.unwrap(),
+                    UdpSocket::bind("127.0.0.1:0").await.unwrap(),
+                );
+                let link = Link::new(1);
+                let parties = [one.local_addr().unwrap(), two.local_addr().unwrap()];
+                let [to_two, to_one] = datagrams(&link, parties).await.unwrap();
+                let mut buffer = [0; 8];
+                one.send_to(b"ping", to_two).await.unwrap();
+                let (length, from) = timeout(PATIENCE, two.recv_from(&mut buffer)).await.unwrap().unwrap();
+                assert_eq!((&buffer[..length], from), (&b"ping"[..], to_one));
+                two.send_to(b"pong", from).await.unwrap();
+                let (length, from) = timeout(PATIENCE, one.recv_from(&mut buffer)).await.unwrap().unwrap();
+                assert_eq!((&buffer[..length], from), (&b"pong"[..], to_two));
+                link.set(|now| now.ways.there.silent = true);
+                one.send_to(b"lost", to_two).await.unwrap();
+                // The way back still carries: what comes there next is all that comes.
+                two.send_to(b"back", to_one).await.unwrap();
+                timeout(PATIENCE, one.recv_from(&mut buffer)).await.unwrap().unwrap();
+                link.set(|now| now.ways.there = Way { duplicate: 1.0, ..Way::default() });
+                one.send_to(b"next", to_two).await.unwrap();
+                for _ in 0..2 {
+                    let (length, _) = timeout(PATIENCE, two.recv_from(&mut buffer)).await.unwrap().unwrap();
+                    assert_eq!(&buffer[..length], b"next");
+                }
+            })
+            .await;
+    }
+}
--- /dev/null
+++ b/lab/src/real/nodes.rs
@@ -0,0 +1,158 @@
+//! The nodes of a run: their folder, configuration, links, start and end.
+
+use super::agent;
+use super::lab::{Lab, Node};
+use super::link::{Door, Far, Link, Reserved};
+use super::process::{Process, ProcessError, Used};
+use super::Options;
+use crate::draw::{self, Stream};
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::io;
+use std::rc::Rc;
+use tokio::sync::watch;
+use walkpick::{Effect, Scope};
+
+/// Descriptors of a node, as on the scored days.
+const SOCKETS: u32 = 1_024;
+
+/// Puts the nodes in place, each with links of its own; none is started.
+pub fn place(lab: &Rc<Lab>, options: &Options) -> io::Result<()> {
+    let count = lab.plan.experiment.deployment.nodes as usize;
+    for i in 0..count {
+        let (clients, discovery) = (link(lab, i, 1), link(lab, i, 2));
+        let node = Node {
+            name: format!("n{i}"),
+            zone: i % lab.plan.zones.len(),
+            address: Reserved::tcp()?,
+            config: options.folder.join(format!("n{i}.json")),
+            log: options.folder.join(format!("n{i}.log")),
+            process: None,
+            life: 0,
+            used: Used::default(),
+            ready: false,
+            died: None,
+            troubled: 0,
+            agent: open_agent(lab, i, &discovery)?,
+            clients,
+            discovery,
+            servers: Vec::new(),
+            heard: Vec::new(),
+            news: watch::Sender::new(0),
+            told: HashMap::new(),
+            clock_s: 0.0,
+            idle: Vec::new(),
+            program: options.program.clone(),
+            lab: options.lab.clone(),
+        };
+        lab.state.borrow_mut().nodes.push(node);
+    }
+    lab.open_doors()
+}
+
+fn link(lab: &Lab, node: usize, which: u64) -> Link {
+    Link::new(draw::unit(lab.plan.seed, Stream::Network, (node as u64) << 8 | which | 1 << 50).to_bits())
+}
+
+fn open_agent(lab: &Rc<Lab>, node: usize, link: &Link) -> io::Result<Door> {
+    let held = Rc::downgrade(lab);
+    let take = move |stream| {
+        if let Some(lab) = held.upgrade() {
+            tokio::task::spawn_local(agent::connection(lab, node, stream));
+        }
+    };
+    Door::open(link, Far::Here(Rc::new(take)))
+}
+
+/// Starts a node under its name and address, with the list that its agent holds.
+pub fn start(lab: &Rc<Lab>, node: usize) -> Result<(), ProcessError> {
+    let known = lab.state.borrow().discovery.list(node);
+    write_config(lab, node)?;
+    // What stands in its configuration was told to it.
+    lab.told(node, &known);
+    let state = &mut *lab.state.borrow_mut();
+    let node = &mut state.nodes[node];
+    node.life += 1;
+    node.process = Some(Process::start(&node.lab, &node.program, &node.config, &node.log)?);
+    Ok(())
+}
+
+fn write_config(lab: &Rc<Lab>, node: usize) -> Result<(), ProcessError> {
+    let text = config(lab, node).to_string();
+    let config = lab.state.borrow().nodes[node].config.clone();
+    std::fs::write(&config, text).map_err(|error| ProcessError::Start { program: config, error })
+}
+
+/// Discovery's agent of a node moves to another address, which its configuration names from now on.
+pub fn move_agent(lab: &Rc<Lab>, node: usize) -> io::Result<()> {
+    let new = link(lab, node, 3);
+    let agent = open_agent(lab, node, &new)?;
+    {
+        let state = &mut *lab.state.borrow_mut();
+        let held = &mut state.nodes[node];
+        held.discovery.set(|now| now.down = true);
+        (held.discovery, held.agent) = (new, agent);
+    }
+    write_config(lab, node).map_err(io::Error::other)
+}
+
+fn config(lab: &Rc<Lab>, node: usize) -> Value {
+    let known = agent::known(lab, node);
+    let state = lab.state.borrow();
+    let held = &state.nodes[node];
+    let seed = lab.plan.node_seed(node, held.life);
+    json!({
+        "name": held.name, "listen": held.address.address().to_string(), "seed": format!("{seed:016x}"),
+        "discovery": held.agent.address().to_string(), "known": known,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS},
+        "settings": settings(lab, held),
+    })
+}
+
+fn settings(lab: &Lab, node: &Node) -> Value {
+    let plan = &lab.plan;
+    let us = |time: std::time::Duration| time.as_micros() as u64;
+    let lanes: Vec<_> = plan
+        .settings
+        .classes
+        .iter()
+        .map(|class| {
+            let (effect, scope, window) = match class.effect {
+                Effect::Safe => ("safe", Scope::All, 0),
+                Effect::Unsafe => ("unsafe", Scope::All, 0),
+                Effect::Keyed { scope, window } => ("keyed", scope, us(window)),
+            };
+            let scope = match scope {
+                Scope::All => "all",
+                Scope::Zone => "zone",
+                Scope::Cell => "cell",
+            };
+            json!({"name": class.name.as_str(), "effect": effect, "dedup_scope": scope, "repeat_window_us": window,
+                   "promise_us": us(class.aim), "hard_limit_us": us(class.deadline), "worth": class.worth,
+                   "late_value": class.late_worth})
+        })
+        .collect();
+    let zones: Vec<_> = plan.zones.iter().map(|zone| zone.as_str()).collect();
+    let known = &plan.settings;
+    json!({
+        "az": zones[node.zone], "zones": zones, "balancers": known.nodes, "membership_mode": "automatic",
+        "lanes": lanes, "orgs": [], "weights": "live", "tick_us": 5_000,
+        "limits": {"cancelling": known.cancelling, "probing": known.probing, "second_copies": known.second_copies,
+                   "most_tries": known.max_attempts, "retry_after": true,
+                   "max_retry_after_us": us(known.max_retry_after),
+                   "connect_timeout_us": us(known.connect_timeout), "keepalive_us": us(known.keepalive)},
+        "safety": {"cold_share": known.cold_share, "warm_within_us": us(known.warm_within),
+                   "fall_multiple": known.fall_multiple, "fall_us": us(known.fall_span),
+                   "grace_to_answer_us": 20_000, "stop_sending_within_us": 250_000},
+    })
+}
+
+impl Node {
+    /// Adds what its process has used up to now; to be called before that ends.
+    pub fn account(&mut self) {
+        if let Some(used) = self.process.as_ref().and_then(Process::used) {
+            self.used.cpu_s += used.cpu_s;
+            self.used.memory_mb = self.used.memory_mb.max(used.memory_mb);
+        }
+    }
+}
--- /dev/null
+++ b/lab/tests/processes.rs
@@ -0,0 +1,232 @@
+//! The lab with real processes on loopback sockets. What is waited for are events; limits only bound a hang. Nothing
+//! here judges how fast a machine is.
+
+use serde_json::Value;
+use std::io::{BufRead, BufReader};
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+use walkpick_lab::real::process::Process;
+
+const LAB: &str = env!("CARGO_BIN_EXE_walkpick-lab");
+const PATIENCE: Duration = Duration::from_secs(120);
+
+/// A folder that goes with its test.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("walkpick-lab-test-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Self(path)
+    }
+
+    fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+
+    fn script(&self, text: &str) -> PathBuf {
+        let path = self.write("program", &format!("#!/bin/sh\n{text}\n"));
+        std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o755)).unwrap();
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn node() -> PathBuf {
+    let path = Path::new(LAB).with_file_name("walkpick");
+    assert!(path.exists(), "{} is missing: run 'cargo build' first", path.display());
+    path
+}
+
+fn wait_for<T>(what: &str, mut found: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(found) = found() {
+            return found;
+        }
+        assert!(start.elapsed() < PATIENCE, "no {what} within {PATIENCE:?}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn lab(folder: &Folder, experiment: &str, node: &Path) -> Command {
+    let file = folder.write("experiment.toml", experiment);
+    let mut command = Command::new(LAB);
+    command.arg("run").arg(file).args(["--driver", "real", "--lateness", "1h", "--node"]).arg(node);
+    command.arg("--logs").arg(&folder.0).arg("--json").arg(folder.0.join("out.json"));
+    command
+}
+
+fn result(folder: &Folder, output: &Output) -> Value {
+    let text = std::fs::read_to_string(folder.0.join("out.json"));
+    let text = text.unwrap_or_else(|error| panic!("{error}: {}", String::from_utf8_lossy(&output.stderr)));
+    serde_json::from_str::<Value>(&text).unwrap()[0].take()
+}
+
+/// The log of a node, of the one run in this folder.
+fn log(folder: &Folder, node: &str) -> String {
+    let runs = std::fs::read_dir(&folder.0).unwrap().map(|entry| entry.unwrap().path());
+    let mut runs = runs.filter(|path| path.is_dir());
+    let run = runs.next().unwrap();
+    std::fs::read_to_string(run.join(format!("{node}.log"))).unwrap()
+}
+
+/// Rules that hold however late this machine is.
+fn timeless(result: &Value) -> Vec<&Value> {
+    let broken = result["rules_broken"].as_array().unwrap().iter();
+    broken
+        .filter(|broken| ["resend", "refusal", "crash"].contains(&broken["rule"].as_str().unwrap()))
+        .collect()
+}
+
+fn small(nodes: u32, faults: &str) -> String {
+    format!(
+        "name = \"small\"\nabout = \"a test\"\nlead = \"1s\"\nlength = \"5s\"\n\
+         [deployment]\nnodes = {nodes}\nzones = 1\nservers = 4\nmemory = 50\n[load]\nshare = 0.2\n{faults}"
+    )
+}
+
+#[test]
+fn three_nodes_are_killed_paused_and_told_to_go_and_serve_again() {
+    let folder = Folder::new("faults");
+    let faults = "[[fault]]\nwhat = \"node-killed\"\nfrom = \"0s\"\nto = \"1s\"\npart = 0.34\n\
+                  [[fault]]\nwhat = \"node-paused\"\nfrom = \"1s\"\nto = \"2s\"\npart = 0.34\n\
+                  [[fault]]\nwhat = \"node-reloaded\"\nfrom = \"1s\"\nto = \"2s\"\npart = 1.0\n\
+                  [[fault]]\nwhat = \"nodes-rolled\"\nfrom = \"2s\"\nto = \"4s\"\npart = 0.34\n";
+    let output = lab(&folder, &small(3, faults), &node()).output().unwrap();
+    let result = result(&folder, &output);
+    assert_eq!(timeless(&result), Vec::<&Value>::new());
+    assert!(result["figures"]["served"].as_f64().unwrap() > 0.0, "{result}");
+    assert_eq!(result["driver"], "real");
+    let logs = ["n0", "n1", "n2"].map(|node| log(&folder, node));
+    let lives: usize = logs.iter().map(|log| log.matches(" listens on ").count()).sum();
+    assert!(lives >= 5, "three starts, one after the kill and one after the roll: {logs:?}");
+    assert!(logs.iter().any(|log| log.contains("told to reload")), "{logs:?}");
+    assert!(
+        logs.iter().filter(|log| log.contains(" is gone")).count() >= 2,
+        "told to go at the end: {logs:?}"
+    );
+}
+
+#[test]
+fn the_same_seed_asks_the_same_of_real_nodes_and_in_simulated_time() {
+    let folder = Folder::new("draws");
+    let faults = "[[fault]]\nwhat = \"link\"\nfrom = \"1s\"\nto = \"3s\"\n[fault.link]\nother_part = 0.5\nsilent = true\n";
+    let real = result(&folder, &lab(&folder, &small(3, faults), &node()).output().unwrap());
+    let file = folder.0.join("experiment.toml");
+    let mut simulated = Command::new(LAB);
+    simulated.arg("run").arg(file).args(["--driver", "virtual", "--json"]).arg(folder.0.join("out.json"));
+    let simulated = result(&folder, &simulated.output().unwrap());
+    assert_eq!((&real["draws"], &real["requests"]), (&simulated["draws"], &simulated["requests"]));
+    assert_eq!(simulated["driver"], "virtual");
+}
+
+#[test]
+fn a_lab_that_is_killed_outright_leaves_no_node_behind() {
+    let folder = Folder::new("killed");
+    let experiment = small(3, "").replace("5s", "100s");
+    let mut child = lab(&folder, &experiment, &node()).stderr(Stdio::null()).spawn().unwrap();
+    let nodes = wait_for("three nodes", || {
+        let nodes = children(&child);
+        // Each is the program by then, and no longer the hold.
+        (nodes.len() == 3 && nodes.iter().all(|pid| program(*pid).as_deref() == Some("walkpick")))
+            .then_some(nodes)
+    });
+    child.kill().unwrap();
+    child.wait().unwrap();
+    wait_for("end of the nodes", || nodes.iter().all(|pid| program(*pid).is_none()).then_some(()));
+}
+
+#[test]
+fn an_interrupted_lab_ends_its_nodes_and_keeps_what_was_measured() {
+    let folder = Folder::new("interrupted");
+    let experiment = small(3, "").replace("5s", "100s");
+    let mut child = lab(&folder, &experiment, &node()).stderr(Stdio::null()).spawn().unwrap();
+    wait_for("three nodes that listen", || {
+        let ready = ["n0", "n1", "n2"].iter().all(|node| {
+            let run = std::fs::read_dir(&folder.0)
+                .unwrap()
+                .map(|entry| entry.unwrap().path())
+                .find(|path| path.is_dir());
+            let log = run.and_then(|run| std::fs::read_to_string(run.join(format!("{node}.log"))).ok());
+            log.is_some_and(|log| log.contains(" listens on "))
+        });
+        ready.then_some(())
+    });
+    let nodes = children(&child);
+    assert!(Command::new("kill").arg("-INT").arg(child.id().to_string()).status().unwrap().success());
+    assert_eq!(child.wait().unwrap().code(), Some(1));
+    assert!(nodes.iter().all(|pid| program(*pid).is_none()));
+    let text = std::fs::read_to_string(folder.0.join("out.json")).unwrap();
+    assert_eq!(serde_json::from_str::<Value>(&text).unwrap()[0]["interrupted"], true);
+}
+
+#[test]
+fn a_node_that_dies_at_once_is_told_with_its_last_words() {
+    let folder = Folder::new("dies");
+    let program = folder.script("echo 'no such thing' >&2; exit 3");
+    let output = lab(&folder, &small(1, ""), &program).output().unwrap();
+    let error = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(1), "{error}");
+    assert!(
+        error.contains("n0 ended before it was ready: exit status: 3; its log says: no such thing"),
+        "{error}"
+    );
+    let output = lab(&folder, &small(1, ""), Path::new("no/such/program")).output().unwrap();
+    assert_eq!(output.status.code(), Some(1));
+}
+
+#[test]
+fn a_process_that_ignores_its_end_is_killed() {
+    let folder = Folder::new("ignores");
+    let program = folder.script("trap '' TERM\necho ready\nwhile true; do sleep 1; done");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let log = folder.0.join("log");
+        let config = folder.write("config", "");
+        let mut process = Process::start(Path::new(LAB), &program, &config, &log).unwrap();
+        wait_for("its word", || std::fs::read_to_string(&log).unwrap().contains("ready").then_some(()));
+        process.signal(nix::sys::signal::Signal::SIGTERM);
+        assert_eq!(process.finish(Duration::from_millis(200)).await, None);
+        assert_eq!(process.used(), None, "it is gone");
+    });
+}
+
+#[test]
+fn more_nodes_than_descriptors_are_refused_before_anything_starts() {
+    let folder = Folder::new("descriptors");
+    let experiment = small(300, "").replace("servers = 4", "servers = 4000");
+    let file = folder.write("experiment.toml", &experiment);
+    let output = Command::new(LAB).arg("run").arg(file).args(["--driver", "real"]).output().unwrap();
+    let error = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(1), "{error}");
+    assert!(error.contains("300 nodes and 4000 servers need"), "{error}");
+}
+
+fn children(parent: &Child) -> Vec<u32> {
+    let path = format!("/proc/{0}/task", parent.id());
+    let tasks = std::fs::read_dir(path).into_iter().flatten().flatten();
+    let lists = tasks.filter_map(|task| std::fs::read_to_string(task.path().join("children")).ok());
+    lists
+        .flat_map(|list| list.split_whitespace().filter_map(|pid| pid.parse().ok()).collect::<Vec<_>>())
+        .collect()
+}
+
+/// The name of a process's program; none where it is gone.
+fn program(pid: u32) -> Option<String> {
+    let file = std::fs::File::open(format!("/proc/{pid}/status")).ok()?;
+    let lines: Vec<_> = BufReader::new(file).lines().map_while(Result::ok).collect();
+    let value = |name: &str| lines.iter().find_map(|line| line.strip_prefix(name)).map(str::trim);
+    // One that has ended and was not waited for is gone all the same.
+    let gone = value("State:")?.starts_with('Z');
+    value("Name:").filter(|_| !gone).map(str::to_owned)
+}
