--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -19,6 +19,14 @@
         /// Why.
         error: std::io::Error,
     },
+    /// The file cannot be written.
+    #[error("{}: cannot be written: {error}", path.display())]
+    Unwritable {
+        /// Which file.
+        path: PathBuf,
+        /// Why.
+        error: std::io::Error,
+    },
     /// The file is not an experiment.
     #[error("{}", faults.iter().map(|fault| format!("{}: {fault}", path.display())).collect::<Vec<_>>().join("\n"))]
     Faulty {
@@ -340,6 +348,8 @@
     Random,
     /// Plain consistent hashing, with breakers at the paper's defaults.
     Hash,
+    /// Sees the true state of every server, and takes the one that would answer first: the top.
+    Top,
     /// The program's, made to believe that no server ever drains: for the judges to catch.
     IgnoresDrains,
     /// The program's, made to believe that everything may run again: for the judges to catch.
--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -90,6 +90,9 @@
     pub origin_falls: u64,
     broken: Vec<Broken>,
     broken_count: u64,
+    /// Since when a node does what it does, and what it did before.
+    doing: BTreeMap<usize, (Doing, Micros)>,
+    done: Vec<(usize, Doing, Micros, Micros)>,
 }
 
 /// One second of a run.
@@ -105,6 +108,39 @@
     pub refused: u32,
     /// Those failed or never answered.
     pub failed: u32,
+    /// Median time of what was served, from when it was due, in milliseconds.
+    pub p50_ms: f64,
+    /// 99th percentile of that.
+    pub p99_ms: f64,
+}
+
+/// What a node was doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Doing {
+    /// Serving.
+    Serving,
+    /// Told to go.
+    Leaving,
+    /// Standing still.
+    Paused,
+    /// Getting a part of its time.
+    Slow,
+    /// Gone.
+    Down,
+}
+
+/// A time over which a node did one thing.
+#[derive(Clone, Debug, Serialize)]
+pub struct Span {
+    /// The node's number.
+    pub node: usize,
+    /// What it did.
+    pub doing: Doing,
+    /// From when, in seconds since faults count their time.
+    pub from_s: f64,
+    /// Until when.
+    pub to_s: f64,
 }
 
 /// What a run came to.
@@ -138,6 +174,8 @@
     pub rules_broken: Vec<Broken>,
     /// By second.
     pub series: Vec<Second>,
+    /// What nodes did that were not serving.
+    pub spans: Vec<Span>,
 }
 
 /// A check and what came of it.
@@ -169,6 +207,23 @@
         }
     }
 
+    /// A node does something else from now on; all of them serve at first.
+    pub fn does(&mut self, node: usize, doing: Doing, now: Micros) {
+        let (was, since) = self.doing.insert(node, (doing, now)).unwrap_or((Doing::Serving, 0));
+        if was != Doing::Serving {
+            self.done.push((node, was, since, now));
+        }
+    }
+
+    fn spans(&self, lead: Micros, end: Micros) -> Vec<Span> {
+        let going_on = self.doing.iter().filter(|(_, (doing, _))| *doing != Doing::Serving);
+        let going_on = going_on.map(|(&node, &(doing, since))| (node, doing, since, end));
+        let seconds = |at: Micros| (at as f64 - lead as f64) / SECOND as f64;
+        let all = self.done.iter().copied().chain(going_on);
+        all.map(|(node, doing, from, to)| Span { node, doing, from_s: seconds(from), to_s: seconds(to) })
+            .collect()
+    }
+
     /// A client's request has come to this end; what is served stays served.
     pub fn end(&mut self, ask: usize, end: End, at: Micros) {
         let known = &mut self.ends[ask];
@@ -188,7 +243,8 @@
         let mut classes = vec![(0.0, 0.0, 0usize); kinds.len()];
         let (mut refused, mut failed, mut counted) = (0u64, 0u64, 0u64);
         // To a minute, with three digits.
-        let mut times = Histogram::<u64>::new_with_bounds(1, 60 * SECOND, 3).ok();
+        let histogram = || Histogram::<u64>::new_with_bounds(1, 60 * SECOND, 3).ok();
+        let (mut times, mut of_second) = (histogram(), histogram());
         for (ask, &(end, at)) in asks.iter().zip(&self.ends).filter(|(ask, _)| ask.at >= lead) {
             let kind = &kinds[ask.kind];
             let worth = kind.class.worth * ask.work_us / SECOND as f64;
@@ -197,6 +253,7 @@
             let served = if in_time { worth } else { 0.0 };
             let place = ((ask.at - lead) / SECOND) as usize;
             if series.len() <= place {
+                end_second(series.last_mut(), &mut of_second);
                 series.resize(place + 1, Second::default());
             }
             let second = &mut series[place];
@@ -210,10 +267,14 @@
             counted += 1;
             refused += u64::from(end == End::Refused);
             failed += u64::from(matches!(end, End::Failed | End::Unreached | End::None));
-            if let (End::Served, Some(took), Some(times)) = (end, took, &mut times) {
+            if let (End::Served, Some(took), Some(times), Some(of_second)) =
+                (end, took, &mut times, &mut of_second)
+            {
                 times.saturating_record(took.max(1));
+                of_second.saturating_record(took.max(1));
             }
         }
+        end_second(series.last_mut(), &mut of_second);
         let sum = |seconds: &[Second]| {
             let asked: f64 = seconds.iter().map(|second| second.asked).sum();
             ratio(seconds.iter().map(|second| second.served).sum(), asked)
@@ -268,10 +329,20 @@
             figures,
             rules_broken: self.broken.clone(),
             series,
+            spans: self.spans(plan.lead(), plan.length()),
         }
     }
 }
 
+/// Requests come in their order: a second is over when one of the next has come.
+fn end_second(second: Option<&mut Second>, times: &mut Option<Histogram<u64>>) {
+    if let (Some(second), Some(times)) = (second, times) {
+        let ms = |q| times.value_at_quantile(q) as f64 / 1_000.0;
+        (second.p50_ms, second.p99_ms) = (ms(0.5), ms(0.99));
+        times.reset();
+    }
+}
+
 fn ratio(part: f64, whole: f64) -> f64 {
     if whole > 0.0 {
         part / whole
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod plan;
 pub mod policies;
 pub mod real;
+pub mod report;
 pub mod world;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use indicatif::{MultiProgress, ProgressBar, ProgressStyle};
+use serde::{Deserialize, Serialize};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use std::collections::BTreeMap;
 use std::error::Error;
@@ -12,11 +13,11 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use walkpick_lab::experiment::{Arm, Driver, Experiment, ExperimentError};
+use walkpick_lab::experiment::{self, Arm, Driver, Experiment, ExperimentError};
 use walkpick_lab::judge::{self, Result as Run};
-use walkpick_lab::model;
 use walkpick_lab::real::{self, process, Options, RealError};
 use walkpick_lab::world::World;
+use walkpick_lab::{model, report};
 
 #[derive(Debug, Parser)]
 #[command(name = "walkpick-lab", version, about = "Rehearses failures on an emulated deployment of walkpick")]
@@ -31,6 +32,20 @@
     Run(RunArgs),
     /// Run two arms on the same seeds and tell whether they differ
     Compare(CompareArgs),
+    /// Run an experiment with real nodes and in simulated time on the same seeds, and tell how far apart they lie
+    Calibrate(CalibrateArgs),
+    /// Run again what a JSON of results came from, and tell whether the same comes out
+    Replay {
+        /// What `run --json` wrote
+        file: PathBuf,
+        #[command(flatten)]
+        how: How,
+    },
+    /// Write an experiment to begin with
+    Init {
+        /// Where to; a file that is there already stays as it is
+        file: PathBuf,
+    },
     /// List the experiments of a folder
     List {
         /// The folder
@@ -66,9 +81,12 @@
     /// One arm alone
     #[arg(long)]
     arm: Option<String>,
-    /// Write all results here as JSON
+    /// Write the experiment and all results here as JSON
     #[arg(long)]
     json: Option<PathBuf>,
+    /// Write a page with plots into this folder
+    #[arg(long)]
+    report: Option<PathBuf>,
     /// Runs at once; where it is not given, one with real nodes, and else as many as there are cores
     #[arg(long)]
     jobs: Option<usize>,
@@ -77,7 +95,7 @@
 }
 
 /// How runs are carried out.
-#[derive(Debug, Args)]
+#[derive(Clone, Debug, Args)]
 struct How {
     /// Simulated time or real nodes; as the experiment says where it is not given
     #[arg(long)]
@@ -113,6 +131,47 @@
     how: How,
 }
 
+#[derive(Debug, Args)]
+struct CalibrateArgs {
+    /// The experiment
+    file: PathBuf,
+    /// One arm alone; the program's where it is not given
+    #[arg(long, default_value = "walkpick")]
+    arm: String,
+    /// How many seeds
+    #[arg(long, default_value_t = 3)]
+    seeds: u64,
+    /// Write JSON
+    #[arg(long)]
+    json: bool,
+    #[command(flatten)]
+    how: How,
+}
+
+/// An experiment and what came of it, as JSON has it.
+#[derive(Debug, Serialize)]
+struct Written<'a> {
+    experiment: &'a Experiment,
+    runs: &'a [Run],
+}
+
+/// What a replay needs of it.
+#[derive(Debug, Deserialize)]
+struct Kept {
+    experiment: Experiment,
+    runs: Vec<KeptRun>,
+}
+
+#[derive(Debug, Deserialize)]
+struct KeptRun {
+    arm: String,
+    seed: u64,
+    driver: Driver,
+    version: String,
+    draws: String,
+    figures: BTreeMap<String, Option<f64>>,
+}
+
 /// Broken rules of a run that the terminal shows; the JSON has more of them.
 const SHOWN: usize = 3;
 const FELL_SHORT: u8 = 1;
@@ -123,6 +182,9 @@
     let done = match Cli::parse().command {
         Command::Run(args) => run(&args),
         Command::Compare(args) => compare(&args),
+        Command::Calibrate(args) => calibrate(&args),
+        Command::Replay { file, how } => replay(&file, &how),
+        Command::Init { file } => init(&file).map(|()| true),
         Command::List { folder } => list(&folder).map(|()| true),
         Command::Explain { file } => explain(&file).map(|()| true),
         // It comes back only where it failed.
@@ -261,7 +323,12 @@
     };
     let results = play(&experiment, &arms, args.seed..args.seed + args.seeds, args.jobs, &args.how)?;
     if let Some(path) = &args.json {
-        std::fs::write(path, serde_json::to_vec_pretty(&results)?)?;
+        let written = Written { experiment: &experiment, runs: &results };
+        std::fs::write(path, serde_json::to_vec_pretty(&written)?)?;
+    }
+    if let Some(folder) = &args.report {
+        let page = report::write(folder, &experiment, &results)?;
+        eprintln!("report: {}", page.display());
     }
     let mut out = io::stdout().lock();
     writeln!(
@@ -358,6 +425,114 @@
     Ok(true)
 }
 
+fn calibrate(args: &CalibrateArgs) -> Done {
+    let experiment = Experiment::load(&args.file)?;
+    let arm = known_arm(&experiment, &args.arm)?;
+    let under = |driver| {
+        let how = How { driver: Some(driver), ..args.how.clone() };
+        play(&experiment, std::slice::from_ref(&arm), 1..1 + args.seeds, None, &how)
+    };
+    let (real, simulated) = (under(Driver::Real)?, under(Driver::Virtual)?);
+    let void: Vec<_> = real.iter().filter_map(|run| run.void.as_ref()).collect();
+    let mut rows = Vec::new();
+    for (name, _) in judge::FIGURES {
+        let of = |runs: &[Run]| -> Vec<f64> {
+            runs.iter().filter_map(|run| run.figures.get(name).copied()).collect()
+        };
+        let (one, two) = (of(&real), of(&simulated));
+        if one.is_empty() || one.len() != two.len() {
+            continue;
+        }
+        let differences: Vec<_> = one.iter().zip(&two).map(|(one, two)| one - two).collect();
+        let (mean, half) = interval(&differences);
+        let average = |values: &[f64]| values.iter().sum::<f64>() / values.len() as f64;
+        rows.push(serde_json::json!({"figure": name, "real": average(&one), "virtual": average(&two),
+            "difference": mean, "half_width_95": half, "shown": mean.abs() > half}));
+    }
+    let same = real.iter().zip(&simulated).all(|(one, two)| one.draws == two.draws);
+    let mut out = io::stdout().lock();
+    if args.json {
+        let text = serde_json::json!({"experiment": experiment.name, "arm": arm, "seeds": args.seeds,
+            "same_draws": same, "void": void, "figures": rows});
+        writeln!(out, "{text:#}")?;
+    } else {
+        writeln!(
+            out,
+            "{:14} {:>10} {:>10} {:>11} {:>10}",
+            "figure", "real", "virtual", "difference", "95% within"
+        )?;
+        for row in &rows {
+            let number = |name: &str| row[name].as_f64().unwrap_or(f64::NAN);
+            let word = if row["shown"] == true { "a difference" } else { "no difference shown" };
+            writeln!(
+                out,
+                "{:14} {:>10.4} {:>10.4} {:>+11.4} {:>10.4} {word}",
+                row["figure"].as_str().unwrap_or_default(),
+                number("real"),
+                number("virtual"),
+                number("difference"),
+                number("half_width_95"),
+            )?;
+        }
+        void.iter().try_for_each(|why| writeln!(out, "void: {why}"))?;
+        writeln!(out, "the same draws: {same}")?;
+    }
+    Ok(same && void.is_empty())
+}
+
+fn replay(file: &Path, how: &How) -> Done {
+    let fault = |place: String, what: String| ExperimentError::Faulty {
+        path: file.to_owned(),
+        faults: vec![experiment::Fault { place, what }],
+    };
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| ExperimentError::Unreadable { path: file.to_owned(), error })?;
+    let kept: Kept = serde_json::from_str(&text).map_err(|error| {
+        let what = format!("{error}; expected what run --json wrote");
+        fault(format!("line {}", error.line()), what)
+    })?;
+    let mut all_same = true;
+    let mut out = io::stdout().lock();
+    for run in &kept.runs {
+        let arm = known_arm(&kept.experiment, &run.arm)?;
+        let how = How { driver: Some(run.driver), ..how.clone() };
+        let again = play(&kept.experiment, &[arm], run.seed..run.seed + 1, None, &how)?;
+        let Some(again) = again.first() else { return Ok(false) };
+        // What a value could not be written as, it has no place in.
+        let other = run.figures.iter().find(|(name, value)| {
+            let now = again.figures.get(name.as_str()).copied();
+            value.is_some() && value.map(f64::to_bits) != now.map(f64::to_bits)
+        });
+        let draws = again.draws == run.draws;
+        let word = match (draws, run.driver, other) {
+            (false, ..) => "other draws".to_owned(),
+            (true, Driver::Virtual, None) => "the same to the byte".to_owned(),
+            (true, Driver::Virtual, Some((name, _))) => format!("the same draws, another {name}"),
+            (true, Driver::Real, _) => "the same draws; real time differs from run to run".to_owned(),
+        };
+        writeln!(
+            out,
+            "{}, seed {}, {}, build {}: {word}",
+            run.arm,
+            run.seed,
+            run.driver.name(),
+            run.version
+        )?;
+        all_same &= draws && (run.driver == Driver::Real || other.is_none());
+    }
+    Ok(all_same)
+}
+
+/// What an experiment may say, to begin with.
+const TEMPLATE: &str = include_str!("template.toml");
+
+fn init(file: &Path) -> Result<(), Box<dyn Error>> {
+    let failed = |error| ExperimentError::Unwritable { path: file.to_owned(), error };
+    let mut new = std::fs::File::create_new(file).map_err(failed)?;
+    new.write_all(TEMPLATE.as_bytes()).map_err(failed)?;
+    Ok(())
+}
+
 /// Mean and half width of its 95% confidence interval (Student's t).
 fn interval(values: &[f64]) -> (f64, f64) {
     /// Of one degree of freedom and more; the normal law's past these.
--- a/lab/src/policies.rs
+++ b/lab/src/policies.rs
@@ -2,8 +2,8 @@
 
 use crate::draw::{self, Stream};
 use crate::experiment::Policy;
-use crate::model::fleet::Fleet;
-use crate::model::SECOND;
+use crate::model::fleet::{Fleet, Machine};
+use crate::model::{Micros, SECOND};
 use crate::plan::Plan;
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::SplitMix64;
@@ -16,6 +16,9 @@
 
 /// A decision module, as a node hosts it.
 pub trait Decisions {
+    /// Is shown the true state before each event that concerns this object. None but [`Policy::Top`] looks.
+    fn see(&mut self, _now: Micros, _fleet: &Fleet, _key: u64) {}
+
     /// Takes in what happened and appends what the node must do.
     fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>);
 }
@@ -32,6 +35,7 @@
     match policy {
         Policy::Walkpick => Box::new(Balancer::new(settings, seed)),
         Policy::Random => simple(How::Random),
+        Policy::Top => Box::new(Top { settings, expects: HashMap::new(), open: HashMap::new() }),
         Policy::Hash => simple(How::Hash),
         Policy::BlocksNothing => simple(How::Blind),
         Policy::IgnoresDrains => Box::new(NeverDrains(Balancer::new(settings, seed))),
@@ -74,6 +78,88 @@
     }
 }
 
+/// What a bound on all policies would know: who answers, how long each would take, and what each holds. It takes the
+/// server that would answer first, asks another after an error where the class allows it, and refuses what none would
+/// answer in time. It still knows nothing of the future, nor of what other nodes send at the same moment.
+struct Top {
+    settings: Settings,
+    /// Of each server that answers: see [`crate::model::server::Server::expects`].
+    expects: HashMap<ServerId, Expects>,
+    open: HashMap<RequestId, (Request, u32)>,
+}
+
+/// A server as the top sees it.
+struct Expects {
+    /// Time of a job of a second's work, in seconds.
+    for_work: f64,
+    /// Whether it holds the object that the present event is about.
+    holds: bool,
+    cold: bool,
+}
+
+impl Top {
+    fn send(&mut self, now: Timestamp, request: Request, attempt: u32, actions: &mut Vec<Action>) {
+        /// What a fetch from the origin takes about, in seconds.
+        const FETCH: f64 = 0.2;
+        let work = request.expected_work.unwrap_or_default().as_secs_f64().max(0.001);
+        let takes = |sight: &Expects| {
+            let fetch = if sight.holds { 0.0 } else { FETCH };
+            sight.for_work * work + fetch
+        };
+        // One that is cold is spared, as no module may push it over.
+        let warm = self.expects.iter().filter(|(_, sight)| !sight.cold);
+        let first =
+            warm.map(|(id, sight)| (takes(sight), id)).min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
+        let id = request.id.clone();
+        let left = request.valid_until.since(now).as_secs_f64();
+        match first.filter(|(takes, _)| *takes < left) {
+            Some((_, server)) => {
+                let (server, timeout) = (server.clone(), request.valid_until.since(now));
+                actions.push(Action::Send { id: id.clone(), server, timeout });
+                self.open.insert(id, (request, attempt));
+            }
+            None if attempt == 0 => actions.push(Action::Refuse { id, retry_after: Duration::ZERO }),
+            None => actions.push(Action::Fail { id }),
+        }
+    }
+}
+
+impl Decisions for Top {
+    fn see(&mut self, now: Micros, fleet: &Fleet, key: u64) {
+        let answers = |machine: &&Machine| !machine.mute() && machine.availability == Availability::Ready;
+        let sights = fleet.machines.iter().filter(answers).map(|machine| {
+            let sight = Expects {
+                for_work: machine.server.expects(now),
+                holds: machine.server.holds(key),
+                cold: machine.server.warmth(now) < 1.0,
+            };
+            (machine.id.clone(), sight)
+        });
+        self.expects = sights.collect();
+    }
+
+    fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Request(request) => self.send(now, request, 0, actions),
+            Event::Outcome(outcome) => {
+                let Some((request, attempt)) = self.open.remove(&outcome.id) else { return };
+                if outcome.finished {
+                    return;
+                }
+                let class = request.class.and_then(|class| self.settings.classes.get(class.0));
+                let safe = class.is_some_and(|class| class.effect == Effect::Safe);
+                if (outcome.status.never_ran() || safe) && attempt + 1 < self.settings.max_attempts {
+                    self.send(now, request, attempt + 1, actions);
+                } else {
+                    actions.push(Action::Fail { id: outcome.id });
+                }
+            }
+            Event::Abandoned(id) => drop(self.open.remove(&id)),
+            _ => {}
+        }
+    }
+}
+
 /// Shows its module every server as ready.
 struct NeverDrains(Balancer);
 
--- a/lab/src/real/faults.rs
+++ b/lab/src/real/faults.rs
@@ -3,6 +3,7 @@
 use super::lab::Lab;
 use super::{clients, nodes};
 use crate::experiment::{Party, What};
+use crate::judge::Doing;
 use crate::model::{micros, Micros, SECOND};
 use nix::sys::signal::Signal;
 use std::future::Future;
@@ -48,6 +49,8 @@
         }
         What::NodePaused => met.into_iter().for_each(|node| {
             trouble_node(lab, node, begins);
+            let doing = if begins { Doing::Paused } else { Doing::Serving };
+            lab.state.borrow_mut().record.does(node, doing, lab.now());
             signal(lab, node, if begins { Signal::SIGSTOP } else { Signal::SIGCONT });
         }),
         What::NodeSlow if begins => {
@@ -120,6 +123,7 @@
     trouble_node(&lab, node, true);
     let process = {
         let state = &mut *lab.state.borrow_mut();
+        state.record.does(node, Doing::Down, lab.now());
         let node = &mut state.nodes[node];
         node.died = Some(lab.now());
         node.idle.clear();
@@ -134,6 +138,7 @@
 /// Tells a node to go, as at a planned restart, and kills it when it has not.
 async fn terminate(lab: Rc<Lab>, node: usize) {
     signal(&lab, node, Signal::SIGTERM);
+    lab.state.borrow_mut().record.does(node, Doing::Leaving, lab.now());
     let longest = lab.plan.kinds.iter().map(|kind| kind.class.deadline).max().unwrap_or_default();
     let told = tokio::time::Instant::now();
     let kill_at = told + longest.min(LONGEST_DEADLINE) + AFTER_DEADLINE;
@@ -147,7 +152,9 @@
     };
     let Some(mut process) = process else { return };
     let limit = kill_at.saturating_duration_since(tokio::time::Instant::now());
-    match process.finish(limit).await {
+    let ended = process.finish(limit).await;
+    lab.state.borrow_mut().record.does(node, Doing::Down, lab.now());
+    match ended {
         Some(status) if status.success() => {}
         ended => {
             let how =
@@ -167,6 +174,7 @@
                 state.nodes[node].ready = true;
                 state.nodes[node].died = None;
                 state.nodes[node].troubled = lab.now();
+                state.record.does(node, Doing::Serving, lab.now());
             }
         }
         Err(error) => {
@@ -178,6 +186,7 @@
 /// Gives a process a share of its time alone, by turns.
 async fn slow(lab: Rc<Lab>, node: usize, share: f64, until: Micros) {
     trouble_node(&lab, node, true);
+    lab.state.borrow_mut().record.does(node, Doing::Slow, lab.now());
     let runs = TURN.mul_f64(share.clamp(0.01, 1.0));
     let mut next = tokio::time::Instant::now();
     while lab.now() < until {
@@ -188,4 +197,5 @@
         sleep_until(next).await;
     }
     trouble_node(&lab, node, false);
+    lab.state.borrow_mut().record.does(node, Doing::Serving, lab.now());
 }
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -2,7 +2,7 @@
 //! thread. The same experiment, arm and seed give the same run.
 
 use crate::experiment::{Arm, Experiment, Party, What};
-use crate::judge::{self, Record, Result};
+use crate::judge::{self, Doing, Record, Result};
 use crate::model::clients::{self, End};
 use crate::model::discovery::Discovery;
 use crate::model::fleet::{Come, Due, Fleet, Out};
@@ -216,6 +216,9 @@
         let node = &mut self.nodes[i];
         let seed = self.plan.node_seed(i, node.life);
         node.decisions = Some(policies::build(self.arm.policy, settings, seed));
+        if node.died.is_some() {
+            self.record.does(i, Doing::Serving, self.now);
+        }
         (node.died, node.leaving, node.held) = (None, false, None);
         let known = self.discovery.list(i);
         let known = self.as_told(i, known.into());
@@ -288,7 +291,10 @@
                 self.carry(out);
             }
             Next::Told { node, life, change } => self.told(node, life, change),
-            Next::Leaves { node, life } if self.nodes[node].life == life => self.nodes[node].leaving = true,
+            Next::Leaves { node, life } if self.nodes[node].life == life => {
+                self.nodes[node].leaving = true;
+                self.record.does(node, Doing::Leaving, self.now);
+            }
             Next::Stops { node, life } if self.nodes[node].life == life => self.kill(node),
             Next::Leaves { .. } | Next::Stops { .. } => {}
             Next::Starts { node } => self.start_node(node),
@@ -402,6 +408,14 @@
         }
         let Some(mut decisions) = self.nodes[node].decisions.take() else { return };
         let mut actions = Vec::new();
+        let about = match &event {
+            NodeEvent::Request(request) => Some(ticket_of(&request.id)),
+            NodeEvent::Outcome(outcome) => Some(ticket_of(&outcome.id)),
+            _ => None,
+        };
+        if let Some(ticket) = about.and_then(|ticket| self.tickets.get(ticket)) {
+            decisions.see(self.now, &self.fleet, self.plan.asks[ticket.ask].key);
+        }
         decisions.handle(Timestamp::from_micros(EPOCH + self.now), event, &mut actions);
         self.nodes[node].decisions = Some(decisions);
         for action in actions {
@@ -752,6 +766,7 @@
     }
 
     fn pause(&mut self, node: usize, begins: bool) {
+        self.record.does(node, if begins { Doing::Paused } else { Doing::Serving }, self.now);
         if begins {
             self.nodes[node].troubled = Micros::MAX;
             self.nodes[node].held.get_or_insert_default();
@@ -784,6 +799,7 @@
     }
 
     fn kill(&mut self, node: usize) {
+        self.record.does(node, Doing::Down, self.now);
         let killed = &mut self.nodes[node];
         killed.decisions = None;
         killed.died = Some(self.now);
--- /dev/null
+++ b/lab/tests/cli.rs
@@ -0,0 +1,82 @@
+//! The commands of the lab's program, in simulated time.
+
+use serde_json::Value;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("walkpick-lab-cli-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Self(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn lab(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_walkpick-lab")).args(arguments).output().unwrap()
+}
+
+fn out(output: &Output) -> String {
+    format!("{}{}", String::from_utf8_lossy(&output.stdout), String::from_utf8_lossy(&output.stderr))
+}
+
+const SMALL: &str = "name = \"small\"\nabout = \"a <test>\"\nlead = \"1s\"\nlength = \"5s\"\n\
+    [deployment]\nnodes = 3\nservers = 4\nmemory = 50\n\
+    [[fault]]\nwhat = \"node-paused\"\nfrom = \"1s\"\nto = \"3s\"\npart = 0.34\n\
+    [arm.walkpick]\n[arm.top]\npolicy = \"top\"\n\
+    [[check]]\nname = \"c\"\nfigure = \"served\"\nat_least = 0.1\n";
+
+#[test]
+fn a_run_is_written_drawn_and_replayed_to_the_byte() {
+    let folder = Folder::new("replay");
+    let path = |name: &str| folder.0.join(name).display().to_string();
+    std::fs::write(path("small.toml"), SMALL).unwrap();
+    let ran = lab(&["run", &path("small.toml"), "--json", &path("out.json"), "--report", &path("report")]);
+    assert_eq!(ran.status.code(), Some(0), "{}", out(&ran));
+    let page = std::fs::read_to_string(path("report/small.html")).unwrap();
+    assert_eq!(page.matches("<svg").count(), 8, "six plots over time, and one of nodes for each arm");
+    assert!(page.contains("a &lt;test&gt;") && page.contains("standing still"));
+    assert!(!page.contains("http://") || page.contains("http://www.w3.org/2000/svg"), "it opens offline");
+    let replayed = lab(&["replay", &path("out.json")]);
+    assert_eq!(replayed.status.code(), Some(0), "{}", out(&replayed));
+    assert_eq!(out(&replayed).matches("the same to the byte").count(), 2);
+    // One that claims another figure is found out.
+    let mut written: Value =
+        serde_json::from_str(&std::fs::read_to_string(path("out.json")).unwrap()).unwrap();
+    written["runs"][0]["figures"]["served"] = 2.into();
+    std::fs::write(path("other.json"), written.to_string()).unwrap();
+    let replayed = lab(&["replay", &path("other.json")]);
+    assert_eq!(replayed.status.code(), Some(1), "{}", out(&replayed));
+    assert!(out(&replayed).contains("another served"));
+}
+
+#[test]
+fn what_init_writes_can_be_read_and_is_never_written_over() {
+    let folder = Folder::new("init");
+    let path = folder.0.join("mine.toml").display().to_string();
+    assert_eq!(lab(&["init", &path]).status.code(), Some(0));
+    assert_eq!(lab(&["explain", &path]).status.code(), Some(0));
+    let again = lab(&["init", &path]);
+    assert_eq!(again.status.code(), Some(2));
+    assert!(out(&again).contains("cannot be written"), "{}", out(&again));
+}
+
+#[test]
+fn bad_input_is_told_with_its_place_and_ends_with_2() {
+    let folder = Folder::new("bad");
+    let path = folder.0.join("bad.json").display().to_string();
+    std::fs::write(&path, "{\n\"experiment\": 3}").unwrap();
+    let replayed = lab(&["replay", &path]);
+    assert_eq!(replayed.status.code(), Some(2), "{}", out(&replayed));
+    assert!(out(&replayed).contains("line 2"), "{}", out(&replayed));
+    let missing = lab(&["run", "no/such/file.toml"]);
+    assert_eq!(missing.status.code(), Some(2), "{}", out(&missing));
+}
--- a/lab/tests/processes.rs
+++ b/lab/tests/processes.rs
@@ -69,7 +69,7 @@
 fn result(folder: &Folder, output: &Output) -> Value {
     let text = std::fs::read_to_string(folder.0.join("out.json"));
     let text = text.unwrap_or_else(|error| panic!("{error}: {}", String::from_utf8_lossy(&output.stderr)));
-    serde_json::from_str::<Value>(&text).unwrap()[0].take()
+    serde_json::from_str::<Value>(&text).unwrap()["runs"][0].take()
 }
 
 /// The log of a node, of the one run in this folder.
@@ -167,7 +167,7 @@
     assert_eq!(child.wait().unwrap().code(), Some(1));
     assert!(nodes.iter().all(|pid| program(*pid).is_none()));
     let text = std::fs::read_to_string(folder.0.join("out.json")).unwrap();
-    assert_eq!(serde_json::from_str::<Value>(&text).unwrap()[0]["interrupted"], true);
+    assert_eq!(serde_json::from_str::<Value>(&text).unwrap()["runs"][0]["interrupted"], true);
 }
 
 #[test]
