Lab: load reports, probes, spoilt answers, a silent or erring origin, and lists that are lost

Need: the model lacked parts of what stands around a node, so what a node does about them could not be rehearsed.

Servers report their load with their answers, late (half a second) and noisy (20%), and take probes at the price of 1 ms of work, where the deployment says so; answers break off half way (server-spoilt); the origin says nothing or errs in a part; changes of the list come to a node only at the end of a fault (discovery-loses). Both drivers have all of them.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -116,6 +116,10 @@
     /// See `notice_least`.
     #[serde(with = "humantime_serde")]
     pub notice_most: Duration,
+    /// Whether answers of servers carry load reports, late and noisy.
+    pub reports: bool,
+    /// Whether servers may be probed, at a price.
+    pub probes: bool,
     /// How late the front sees that a node is dead.
     #[serde(with = "humantime_serde")]
     pub front_notice: Duration,
@@ -136,6 +140,8 @@
             warm: ms(18_000),
             notice_least: ms(800),
             notice_most: ms(3_000),
+            reports: false,
+            probes: false,
             front_notice: ms(2_800),
         }
     }
@@ -211,6 +217,8 @@
     ServerSlow,
     /// Servers answer `size` (a part) of one class, or of all, with errors.
     ServerErring,
+    /// Of the servers' answers `size` (a part) break off half way.
+    ServerSpoilt,
     /// Servers say nothing; at the end they are back, cold.
     ServerSilent,
     /// A whole zone of servers says nothing; at the end they are back, cold.
@@ -235,8 +243,14 @@
     Link,
     /// The origin takes `size` times as long.
     OriginSlow,
+    /// The origin says nothing; at the end it goes on with what it has.
+    OriginSilent,
+    /// The origin answers `size` (a part) with errors.
+    OriginErring,
     /// Lists come `size` times as late.
     DiscoveryLate,
+    /// Of what discovery has to tell, `size` (a part) comes to a node only at the end.
+    DiscoveryLoses,
 }
 
 /// What nodes have a link with.
--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -29,6 +29,7 @@
     ("cold_falls", "cold servers that fell over"),
     ("p50_ms", "median time of what was served, from when it was due"),
     ("p99_ms", "99th percentile of that"),
+    ("probes", "probes for each request"),
     ("rules", "broken rules"),
     ("cpu_ms", "real nodes: processor time for each request"),
     ("cpu_share", "real nodes: part of a core that a node used, on the mean"),
@@ -78,6 +79,8 @@
     pub attempts: u64,
     /// Attempts to another zone.
     pub crossings: u64,
+    /// Probes.
+    pub probes: u64,
     /// New connections to servers.
     pub connections: u64,
     /// Reads that were served, and those of them that no server had kept.
@@ -300,6 +303,7 @@
             ("cold_falls", self.cold_falls as f64),
             ("p50_ms", quantile(0.5)),
             ("p99_ms", quantile(0.99)),
+            ("probes", per(self.probes)),
             ("rules", self.broken_count as f64),
         ];
         (figures.into(), series)
--- a/lab/src/model/discovery.rs
+++ b/lab/src/model/discovery.rs
@@ -23,6 +23,8 @@
     changes: Vec<Arc<[ServerEntry]>>,
     agents: Vec<Agent>,
     late: f64,
+    /// Part of the changes that a node hears of only then.
+    lost: Option<(f64, Micros)>,
 }
 
 impl Discovery {
@@ -30,7 +32,7 @@
     pub fn new(nodes: usize, list: &[ServerEntry]) -> Self {
         let list: HashMap<_, _> = list.iter().map(|entry| (entry.id.clone(), entry.clone())).collect();
         let agents = (0..nodes).map(|_| Agent { list: list.clone(), last: 0 }).collect();
-        Self { changes: Vec::new(), agents, late: 1.0 }
+        Self { changes: Vec::new(), agents, late: 1.0, lost: None }
     }
 
     /// Lists come so many times as late.
@@ -38,6 +40,11 @@
         self.late = times;
     }
 
+    /// Of the changes from now on, this part comes to a node only then; `None`: all come.
+    pub fn lose(&mut self, lost: Option<(f64, Micros)>) {
+        self.lost = lost;
+    }
+
     /// A change. Returns its number, and when each node's agent hears of it.
     pub fn tell(&mut self, plan: &Plan, now: Micros, entries: Arc<[ServerEntry]>) -> (usize, Vec<Micros>) {
         let change = self.changes.len();
@@ -48,7 +55,10 @@
         let heard = self.agents.iter_mut().enumerate().map(|(node, agent)| {
             let unit = draw::unit(plan.seed, Stream::Lists, (change as u64) << 20 | node as u64);
             let after = (least + unit * (most - least).max(0.0)) * late;
-            agent.last = agent.last.max(now + after as Micros);
+            let lost = draw::unit(plan.seed, Stream::Lists, (change as u64) << 20 | node as u64 | 1 << 60);
+            let found = self.lost.filter(|(part, _)| lost < *part).map_or(0, |(_, found)| found);
+            // In order: what follows a lost change waits for it.
+            agent.last = agent.last.max(now + after as Micros).max(found);
             agent.last
         });
         (change, heard.collect())
--- a/lab/src/model/fleet.rs
+++ b/lab/src/model/fleet.rs
@@ -10,7 +10,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use walkpick::{Availability, ServerEntry, ServerId, Timestamp};
+use walkpick::{Availability, LoadReport, ServerEntry, ServerId, Timestamp};
 
 /// What a driver has to bring back at its time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -106,6 +106,8 @@
     /// As discovery tells of it.
     pub entry: ServerEntry,
     erring: Vec<(Option<usize>, f64)>,
+    /// Parts of its answers that break off, one for each fault that is on.
+    breaking: Vec<f64>,
 }
 
 impl Machine {
@@ -201,6 +203,7 @@
             silent: false,
             availability: Availability::Ready,
             erring: Vec::new(),
+            breaking: Vec::new(),
             entry,
         });
         i
@@ -237,7 +240,13 @@
         let life = self.machines[server].life;
         for does in does {
             match does {
-                Does::Says { job, said } => out.push(Out::Says { server, job, said }),
+                Does::Says { job, said } => {
+                    let breaks =
+                        self.machines[server].breaking.iter().any(|part| self.plan.breaks(job, *part));
+                    let served = matches!(said, Said::Hit | Said::Miss);
+                    let said = if served && breaks { Said::Broken } else { said };
+                    out.push(Out::Says { server, job, said });
+                }
                 Does::Runs(job) => out.push(Out::Runs(job)),
                 Does::Asks { job } => {
                     let mut begun = Vec::new();
@@ -261,6 +270,27 @@
         }
     }
 
+    /// A server's load as an answer carries it, where the deployment has reports.
+    pub fn report(&mut self, now: Micros, server: usize, job: u64) -> LoadReport {
+        if !self.plan.experiment.deployment.reports {
+            return LoadReport::default();
+        }
+        let noise = draw::unit(self.plan.seed, Stream::Errors, job ^ 1 << 52);
+        self.machines[server].server.report(now, noise)
+    }
+
+    /// A probe comes to a server; whether it is answered, and well.
+    pub fn probed(&mut self, now: Micros, server: usize, out: &mut Vec<Out>) -> Option<bool> {
+        let machine = &mut self.machines[server];
+        if machine.mute() {
+            return None;
+        }
+        let mut does = Vec::new();
+        let taken = machine.server.probed(now, &mut does) && machine.availability == Availability::Ready;
+        self.carry_out(now, server, does, out);
+        Some(taken)
+    }
+
     /// What was asked for is due.
     pub fn due(&mut self, now: Micros, due: Due, out: &mut Vec<Out>) {
         match due {
@@ -326,6 +356,15 @@
                     }
                 }
             }
+            What::ServerSpoilt => {
+                for server in met() {
+                    let breaking = &mut self.machines[server].breaking;
+                    match begins {
+                        true => breaking.push(fault.size),
+                        false => breaking.retain(|part| *part != fault.size),
+                    }
+                }
+            }
             What::ServerSilent => self.silence(now, met(), begins, out),
             What::ZoneSilent => {
                 let last = plan.zones.len() - 1;
@@ -334,6 +373,12 @@
             }
             What::ServersReplaced if begins => self.replace_next(now, trouble, step, out),
             What::ServersReplaced => {}
+            What::OriginSilent => {
+                let mut begun = Vec::new();
+                self.origin.silence(now, begins, &mut begun);
+                self.begins(begun, out);
+            }
+            What::OriginErring => self.origin.err(if begins { fault.size } else { 0.0 }),
             What::OriginSlow => self.origin.slow(if begins { fault.size } else { 1.0 }),
             What::NodesRolled if begins => {
                 out.push(Out::Other { trouble, begins, step });
--- a/lab/src/model/origin.rs
+++ b/lab/src/model/origin.rs
@@ -3,6 +3,7 @@
 
 use super::{Micros, SECOND};
 use crate::draw;
+use rand::Rng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 use std::collections::VecDeque;
 
@@ -37,6 +38,8 @@
     asked: VecDeque<Micros>,
     down_until: Option<Micros>,
     falls: u32,
+    silent: bool,
+    erring: f64,
 }
 
 /// Work that begins: it ends at `at`.
@@ -52,7 +55,18 @@
     /// An idle origin.
     pub fn new(parts: OriginParts, random: Xoshiro256PlusPlus) -> Self {
         let (queue, asked) = Default::default();
-        Self { parts, random, busy: 0, queue, slow: 1.0, asked, down_until: None, falls: 0 }
+        Self {
+            parts,
+            random,
+            busy: 0,
+            queue,
+            slow: 1.0,
+            asked,
+            down_until: None,
+            falls: 0,
+            silent: false,
+            erring: 0.0,
+        }
     }
 
     /// What it can do, in asks a second.
@@ -65,6 +79,17 @@
         self.falls
     }
 
+    /// Says nothing from now on, or goes on.
+    pub fn silence(&mut self, now: Micros, silent: bool, begun: &mut Vec<Begun>) {
+        self.silent = silent;
+        self.begin(now, begun);
+    }
+
+    /// Answers this part with errors.
+    pub fn err(&mut self, part: f64) {
+        self.erring = part;
+    }
+
     /// Makes it so many times slower.
     pub fn slow(&mut self, times: f64) {
         self.slow = times.max(0.01);
@@ -87,7 +112,8 @@
 
     /// One of its works has ended. Returns whether it was done: what a fall interrupts is not.
     pub fn end(&mut self, now: Micros, begun: &mut Vec<Begun>) -> bool {
-        let done = self.down_until.is_none_or(|until| now >= until);
+        let spoilt = self.erring > 0.0 && self.random.random::<f64>() < self.erring;
+        let done = !spoilt && !self.silent && self.down_until.is_none_or(|until| now >= until);
         self.busy = self.busy.saturating_sub(1);
         self.begin(now, begun);
         done
@@ -99,7 +125,7 @@
             self.asked.clear();
         }
         let from = self.down_until.unwrap_or(now);
-        while self.busy < self.parts.places {
+        while !self.silent && self.busy < self.parts.places {
             let Some(fetch) = self.queue.pop_front() else { return };
             self.busy += 1;
             let takes = draw::exponential_us(&mut self.random, self.parts.mean_us * self.slow).max(1);
--- a/lab/src/model/server.rs
+++ b/lab/src/model/server.rs
@@ -7,10 +7,18 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::num::NonZeroUsize;
+use walkpick::LoadReport;
 
 /// A cold server bears a little more than its budget (protocol page, rule 4: "a little slack for chance").
 const SLACK: f64 = 1.1;
 
+/// A load report is made anew this often.
+const REPORT_EVERY: Micros = SECOND / 2;
+/// And is off by up to this part.
+const NOISE: f64 = 0.2;
+/// Work that a probe costs, in microseconds of a standard core.
+const PROBE_WORK_US: f64 = 1_000.0;
+
 /// An attempt that a server holds, by a number that is never used twice.
 pub type JobId = u64;
 
@@ -75,6 +83,8 @@
     Hit,
     /// Served by a fetch or a write.
     Miss,
+    /// An answer that breaks off; it ran.
+    Broken,
     /// An error; it may have run.
     Error,
     /// Turned away unseen.
@@ -135,6 +145,8 @@
     fetching: HashMap<JobId, Fetch>,
     by_key: HashMap<u64, JobId>,
     turn: u64,
+    /// When its load was last looked at, and how it was.
+    reported: Option<(Micros, f64, f64)>,
     /// Work sent of late, for the rule on cold servers.
     sent: VecDeque<(Micros, f64, bool)>,
     /// Connections that nodes hold to it.
@@ -180,6 +192,7 @@
             fetching: HashMap::new(),
             by_key: HashMap::new(),
             turn: 0,
+            reported: None,
             sent: VecDeque::new(),
             connections: 0,
         }
@@ -215,6 +228,26 @@
         self.memory.pop(&key);
     }
 
+    /// Its load as its answers tell it: of up to half a second ago, and with noise.
+    pub fn report(&mut self, now: Micros, noise: f64) -> LoadReport {
+        if self.reported.is_none_or(|(at, ..)| now >= at + REPORT_EVERY) {
+            let busy = (self.working.len() as f64 / self.parts.cores).min(1.0);
+            self.reported = Some((now, busy, self.waiting.len() as f64));
+        }
+        let (_, busy, waiting) = self.reported.unwrap_or_default();
+        let noisy = |value: f64| value * (1.0 + NOISE * (2.0 * noise - 1.0));
+        LoadReport { service_time: None, busy: Some(noisy(busy).min(1.0)), waiting: Some(noisy(waiting)) }
+    }
+
+    /// A probe comes, and costs it work. Whether it takes it: it does not when its table of connections is full.
+    pub fn probed(&mut self, now: Micros, does: &mut Vec<Does>) -> bool {
+        self.advance(now);
+        // The work is taken from all that is in hand.
+        self.done -= PROBE_WORK_US / self.working.len().max(1) as f64;
+        self.wake(now, does);
+        self.accepts()
+    }
+
     /// Makes it so many times slower.
     pub fn slow(&mut self, now: Micros, times: f64, does: &mut Vec<Does>) {
         self.advance(now);
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -99,6 +99,7 @@
             max_attempts: MOST_ATTEMPTS,
             second_copies: true,
             cancelling: true,
+            probing: parts.probes,
             max_retry_after: Duration::from_secs(2),
             connect_timeout: Duration::from_micros(CONNECT_TIMEOUT),
             keepalive: Duration::from_micros(KEEPALIVE),
@@ -181,6 +182,11 @@
         draw::unit(self.seed, Stream::Errors, attempt) < part
     }
 
+    /// Whether an answer breaks off, where `part` of them do.
+    pub fn breaks(&self, job: u64, part: f64) -> bool {
+        draw::unit(self.seed, Stream::Errors, job ^ 1 << 53) < part
+    }
+
     /// The servers or nodes that a fault meets: the same in every arm.
     pub fn met(&self, fault: usize, of: usize, part: f64) -> Vec<usize> {
         let mut drawn: Vec<_> = (0..of)
--- a/lab/src/policies.rs
+++ b/lab/src/policies.rs
@@ -50,6 +50,8 @@
 /// Servers hold what they were asked for lately: each object where a module of this arm sends it, the most popular ones
 /// last.
 pub fn fill(plan: &Plan, policy: Policy, fleet: &mut Fleet) {
+    // The top sends nothing before it is shown the servers: it finds them as plain hashing would leave them.
+    let policy = if policy == Policy::Top { Policy::Hash } else { policy };
     let mut module = build(policy, plan.settings.clone(), plan.seed);
     let (mut now, mut actions) = (0, Vec::new());
     let list = fleet.entries().into();
--- a/lab/src/real/faults.rs
+++ b/lab/src/real/faults.rs
@@ -88,6 +88,10 @@
                 state.reset_links(&met);
             }
         }
+        What::DiscoveryLoses => {
+            let found = plan.lead() + micros(fault.to);
+            lab.state.borrow_mut().discovery.lose(begins.then_some((fault.size, found)));
+        }
         What::DiscoveryLate => {
             let times = if begins { fault.size } else { 1.0 };
             lab.state.borrow_mut().discovery.slow(times);
--- a/lab/src/real/nodes.rs
+++ b/lab/src/real/nodes.rs
@@ -133,10 +133,11 @@
         })
         .collect();
     let zones: Vec<_> = plan.zones.iter().map(|zone| zone.as_str()).collect();
-    let known = &plan.settings;
+    let (known, reports) = (&plan.settings, plan.experiment.deployment.reports);
     json!({
         "az": zones[node.zone], "zones": zones, "balancers": known.nodes, "membership_mode": "automatic",
         "lanes": lanes, "orgs": [], "weights": "live", "tick_us": 5_000,
+        "report": {"fields": ["util", "queue"], "source": if reports { "answers" } else { "none" }},
         "limits": {"cancelling": known.cancelling, "probing": known.probing, "second_copies": known.second_copies,
                    "most_tries": known.max_attempts, "retry_after": true,
                    "max_retry_after_us": us(known.max_retry_after),
--- a/lab/src/real/servers.rs
+++ b/lab/src/real/servers.rs
@@ -3,8 +3,9 @@
 use super::lab::Lab;
 use crate::model::server::Said;
 use crate::plan::KEEPALIVE;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Bytes, Incoming};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use hyper::body::{Bytes, Frame, Incoming};
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -12,17 +13,68 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::DuplexStream;
 use tokio::time::sleep;
+use walkpick::LoadReport;
 
 /// Bodies are no longer than this.
 const LARGEST_BODY: usize = 64 * 1024;
 /// An error comes a little later than at once.
 const ERROR_TAKES: Duration = Duration::from_millis(3);
 
-type Reply = Response<Full<Bytes>>;
+type Reply = Response<BoxBody<Bytes, BrokenOff>>;
+
+/// An answer that ends before its length.
+#[derive(Debug, thiserror::Error)]
+#[error("broken off on purpose")]
+struct BrokenOff;
+
+fn whole(text: impl Into<Bytes>) -> BoxBody<Bytes, BrokenOff> {
+    Full::new(text.into()).map_err(|never| match never {}).boxed()
+}
+
+fn broken(id: &str) -> Reply {
+    let half = Frame::data(Bytes::from(format!("{id} ")));
+    Response::new(StreamBody::new(Parts(vec![Err(BrokenOff), Ok(half)])).boxed())
+}
+
+/// Pieces of a body, the last one first.
+struct Parts(Vec<Result<Frame<Bytes>, BrokenOff>>);
+
+impl futures_core::Stream for Parts {
+    type Item = Result<Frame<Bytes>, BrokenOff>;
+
+    fn poll_next(mut self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        Poll::Ready(self.0.pop())
+    }
+}
+
+/// A load report as a header has it, where there is one.
+fn written(load: &LoadReport) -> Option<HeaderValue> {
+    let text = format!("util={:.3},queue={:.1}", load.busy?, load.waiting?);
+    HeaderValue::from_str(&text).ok()
+}
+
+/// A probe: its price is the server's.
+async fn probe(lab: &Rc<Lab>, server: usize, load: bool) -> Reply {
+    let (mut out, now) = (Vec::new(), lab.now());
+    let (taken, report) = {
+        let state = &mut *lab.state.borrow_mut();
+        state.record.probes += 1;
+        (state.fleet.probed(now, server, &mut out), state.fleet.report(now, server, now))
+    };
+    lab.carry(out);
+    let Some(taken) = taken else { return std::future::pending().await };
+    let mut reply = status(if taken { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
+    if let Some(report) = written(&report).filter(|_| load) {
+        *reply.body_mut() = whole(report.as_bytes().to_vec());
+    }
+    reply
+}
 
 /// A connection from a node to a server.
 pub async fn connection(lab: Rc<Lab>, node: usize, server: usize, stream: DuplexStream) {
@@ -50,6 +102,9 @@
 
 async fn answer(lab: Rc<Lab>, node: usize, server: usize, fresh: bool, request: Request<Incoming>) -> Reply {
     let (head, body) = request.into_parts();
+    if matches!(head.uri.path(), "/healthz" | "/load") && lab.plan.experiment.deployment.probes {
+        return probe(&lab, server, head.uri.path() == "/load").await;
+    }
     let id = head.headers.get("req-id").and_then(|id| id.to_str().ok()).map(str::to_owned);
     let Some(id) = id else { return status(StatusCode::NOT_FOUND) };
     let ticket = id.strip_prefix('r').and_then(|number| number.parse::<usize>().ok());
@@ -68,6 +123,8 @@
     let note = match said {
         Said::Hit => "hit",
         Said::Miss => "miss",
+        // The length that it names never comes: the connection ends before.
+        Said::Broken => return broken(&id),
         Said::Error => {
             sleep(ERROR_TAKES).await;
             return status(StatusCode::INTERNAL_SERVER_ERROR);
@@ -78,9 +135,13 @@
             return reply;
         }
     };
-    let mut reply = Response::new(Full::from(format!("{id} {job} from s{server}\n")));
+    let mut reply = Response::new(whole(format!("{id} {job} from s{server}\n")));
     reply.headers_mut().insert("srv-cache", HeaderValue::from_static(note));
+    let now = lab.now();
     let state = &mut *lab.state.borrow_mut();
+    if let Some(load) = written(&state.fleet.report(now, server, job)) {
+        reply.headers_mut().insert("srv-load", load);
+    }
     if !lab.plan.kinds[lab.plan.asks[state.tickets[ticket].ask].kind].write {
         state.record.reads.0 += 1;
         state.record.reads.1 += u64::from(said == Said::Miss);
@@ -89,7 +150,7 @@
 }
 
 fn status(status: StatusCode) -> Reply {
-    let mut reply = Response::new(Full::default());
+    let mut reply = Response::new(whole(Bytes::new()));
     *reply.status_mut() = status;
     reply
 }
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -89,6 +89,12 @@
     Starts {
         node: usize,
     },
+    Probed {
+        node: usize,
+        life: u32,
+        server: usize,
+        at: Micros,
+    },
 }
 
 struct Node {
@@ -298,6 +304,7 @@
             Next::Stops { node, life } if self.nodes[node].life == life => self.kill(node),
             Next::Leaves { .. } | Next::Stops { .. } => {}
             Next::Starts { node } => self.start_node(node),
+            Next::Probed { node, life, server, at } => self.probed(node, life, server, at),
         }
     }
 
@@ -439,8 +446,39 @@
                     machine.server.connections = machine.server.connections.saturating_sub(closed);
                 }
             }
-            Action::Cancel { .. } | Action::Probe { .. } | Action::Follow | Action::Log(_) => {}
+            Action::Probe { server } => self.probe(node, server),
+            Action::Cancel { .. } | Action::Follow | Action::Log(_) => {}
+        }
+    }
+
+    fn probe(&mut self, node: usize, id: ServerId) {
+        let Some(server) = self.fleet.place(&id) else { return };
+        let ways = self.links.ways(node, Party::Server, server);
+        let way = self.way(node, server, self.count ^ 1 << 43, &ways.there) * 2;
+        let (life, at) = (self.nodes[node].life, self.now);
+        let after = if ways.silent() { CONNECT_TIMEOUT } else { way };
+        self.at(self.now + after, Next::Probed { node, life, server, at });
+    }
+
+    /// A probe has come to its server and its answer back, in one step.
+    fn probed(&mut self, node: usize, life: u32, server: usize, at: Micros) {
+        if self.nodes[node].life != life || self.nodes[node].died.is_some() {
+            return;
         }
+        let mut out = Vec::new();
+        let silent = self.links.ways(node, Party::Server, server).silent();
+        let answered = if silent { None } else { self.fleet.probed(self.now, server, &mut out) };
+        self.carry(out);
+        let load = answered.map_or_else(LoadReport::default, |_| self.fleet.report(self.now, server, at));
+        let status = match answered {
+            Some(true) => Status::Ok,
+            Some(false) => Status::Failed,
+            None => Status::TimedOut,
+        };
+        let took = Duration::from_micros(self.now - at);
+        self.record.probes += 1;
+        let server = self.fleet.machines[server].id.clone();
+        self.feed(node, NodeEvent::Probed { server, status, took, load });
     }
 
     fn refuse(&mut self, node: usize, ticket: Ticket, stay: Duration) {
@@ -582,8 +620,12 @@
             }
         }
         let finished = self.tickets[ticket].answered;
+        let load = match note {
+            Some(_) => self.fleet.report(self.now, server, send as u64),
+            None => LoadReport::default(),
+        };
         let (id, server) = (id_of(ticket), self.fleet.machines[server].id.clone());
-        let (took, load) = (Duration::from_micros(took), LoadReport::default());
+        let took = Duration::from_micros(took);
         self.feed(
             node,
             NodeEvent::Outcome(Outcome { id, attempt, server, status, note, took, finished, load }),
@@ -661,6 +703,7 @@
             Said::Hit => (Status::Ok, Some(Note::Hit)),
             Said::Miss => (Status::Ok, Some(Note::Miss)),
             Said::Error => (Status::Failed, None),
+            Said::Broken => (Status::Reset, None),
             Said::Full => (Status::QueueFull, None),
         };
         self.outcome(send, status, note);
@@ -749,6 +792,10 @@
                     self.reset(&met);
                 }
             }
+            What::DiscoveryLoses => {
+                let found = plan.lead() + micros(fault.to);
+                self.discovery.lose(begins.then_some((fault.size, found)));
+            }
             What::DiscoveryLate => self.discovery.slow(if begins { fault.size } else { 1.0 }),
             // The servers' and the origin's, and what the virtual driver has no part for.
             _ => {}
