Peers: membership among nodes, sans-I/O, with a swarm to try it at any size in simulated time

src/peers is SWIM by foca with a postcard envelope: another cluster's datagrams, garbage and floods are dropped and counted; each datagram carries its sender's digest of its view, so that a node knows whether views agree, converge or are split, for how long and with whom, and asks those that differ for their lists; a process that stood still moves its own timers instead of blaming others; farewells; a restart takes its older self's place whatever its clock says; of two that claim one name one steps out, said by both. Count is the rule on what may be relied on: more at once, fewer only when agreed for 10 s and never below half of the largest lately.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,9 +4,11 @@
 pub mod draw;
 pub mod experiment;
 pub mod judge;
+pub mod membership;
 pub mod model;
 pub mod plan;
 pub mod policies;
 pub mod real;
 pub mod report;
+pub mod swarm;
 pub mod world;
--- /dev/null
+++ b/lab/tests/membership.rs
@@ -0,0 +1,186 @@
+//! Membership in simulated time: the hard cases, each on a network that loses datagrams as well as on a good one.
+
+use std::net::SocketAddr;
+use walkpick::peers::{Agreement, PeersConfig, Standing};
+use walkpick_lab::membership::{run, Case};
+use walkpick_lab::model::links::Way;
+use walkpick_lab::model::SECOND;
+use walkpick_lab::swarm::{address, Swarm};
+
+fn config(nodes: usize) -> PeersConfig {
+    PeersConfig { nodes: nodes as u32, ..PeersConfig::default() }
+}
+
+/// Nodes that have met.
+fn met(nodes: usize, seed: u64) -> Swarm {
+    let mut swarm = Swarm::new(config(nodes), nodes, 2, seed);
+    (0..nodes).for_each(|node| swarm.start(node));
+    assert!(swarm.run_until(30 * SECOND, Swarm::whole).is_some(), "they never met");
+    swarm
+}
+
+fn present(swarm: &Swarm, node: usize) -> u32 {
+    swarm.view(node).map_or(0, |view| view.nodes)
+}
+
+#[test]
+fn a_kill_a_leave_and_a_roll_are_known_in_time_and_nobody_else_is_taken_for_gone() {
+    for (nodes, loss) in [(5, 0.0), (5, 0.1), (40, 0.1)] {
+        let kill = run(Case::Kill, nodes, loss, 1);
+        assert!(kill.known_p99_s.is_some_and(|time| time <= 5.0), "{kill:?}");
+        let leave = run(Case::Leave, nodes, loss, 2);
+        assert!(leave.known_p99_s.is_some_and(|time| time <= 1.0), "{leave:?}");
+        let roll = run(Case::Roll, nodes, loss, 3);
+        assert!(roll.whole_s.is_some(), "{roll:?}");
+        assert_eq!([&kill, &leave, &roll].map(|found| found.false_words), [0; 3]);
+    }
+}
+
+// Guards against a library that tells a cleared suspect that it is gone: it would come back as another every second.
+#[test]
+fn lost_datagrams_alone_take_nobody_away() {
+    let mut swarm = met(40, 4);
+    swarm.way = Way { loss: 0.1, ..Way::default() };
+    swarm.told.clear();
+    swarm.run(40 * SECOND);
+    assert_eq!(swarm.came_back, 0);
+    assert!(swarm.told.iter().any(|told| told.standing == Standing::Suspected), "the loss was seen");
+    assert!(!swarm.told.iter().any(|told| told.standing == Standing::Lost));
+}
+
+#[test]
+fn duplicates_late_and_overtaken_datagrams_change_nothing() {
+    let mut swarm = met(8, 5);
+    let late = std::time::Duration::from_millis(60);
+    swarm.way = Way { duplicate: 0.3, reorder: 0.2, delay: late, jitter: late, ..Way::default() };
+    swarm.told.clear();
+    swarm.run(30 * SECOND);
+    assert!(!swarm.told.iter().any(|told| told.standing == Standing::Lost));
+    assert!(swarm.run_until(10 * SECOND, Swarm::whole).is_some());
+}
+
+// Guards against a sleeper that takes all the others for gone, and against one that nobody takes back.
+#[test]
+fn one_that_stood_still_is_back_by_itself_and_blames_nobody() {
+    for (seconds, seed) in [(1, 6), (10, 7), (60, 8)] {
+        let mut swarm = met(6, seed);
+        swarm.pause(5);
+        swarm.run(seconds * SECOND);
+        swarm.told.clear();
+        swarm.resume(5);
+        assert!(swarm.run_until(10 * SECOND, Swarm::whole).is_some(), "after {seconds} s");
+        let blamed = swarm.told.iter().filter(|told| told.by == 5 && told.standing == Standing::Lost);
+        assert_eq!(blamed.count(), 0, "after {seconds} s");
+    }
+}
+
+#[test]
+fn halves_know_that_they_are_cut_and_agree_again_when_they_are_not() {
+    let mut swarm = met(8, 9);
+    swarm.agreements.clear();
+    swarm.split(|node| u32::from(node >= 4));
+    let begun = swarm.now();
+    swarm.run(30 * SECOND);
+    for node in 0..8 {
+        let said = swarm.agreements.iter().find(|said| said.1 == node && said.2 != Agreement::Agreed);
+        assert!(said.is_some_and(|said| said.0 - begun <= 3 * SECOND), "n{node} said it late or never");
+        assert_eq!(swarm.view(node).map(|view| view.agreement), Some(Agreement::Split), "n{node}");
+        // Four are seen, and the parts of all together are within the stated multiple.
+        assert!(swarm.counts[node] >= 4);
+    }
+    swarm.split(|_| 0);
+    assert!(swarm.run_until(10 * SECOND, Swarm::whole).is_some(), "not within 10 s of the end of the split");
+}
+
+#[test]
+fn three_parts_and_a_minority_of_one_come_together_again() {
+    for (groups, seed) in [(3, 10), (1, 11)] {
+        let mut swarm = met(9, seed);
+        swarm.split(|node| if groups == 3 { node as u32 % 3 } else { u32::from(node == 0) });
+        swarm.run(20 * SECOND);
+        assert_eq!(swarm.view(0).map(|view| view.agreement), Some(Agreement::Split));
+        let most: f64 = swarm.counts.iter().map(|count| 1.0 / f64::from(*count)).sum();
+        assert!(most <= 2.0, "{most}");
+        swarm.split(|_| 0);
+        assert!(swarm.run_until(20 * SECOND, Swarm::whole).is_some());
+    }
+}
+
+// A node that hears and is not heard, and one that sees half of the others: those between vouch for both.
+#[test]
+fn one_way_links_and_half_seen_nodes_keep_their_place() {
+    let mut swarm = met(8, 12);
+    swarm.deaf.insert((7, 1));
+    (0..4).for_each(|other| {
+        swarm.deaf.insert((6, other));
+        swarm.deaf.insert((other, 6));
+    });
+    swarm.told.clear();
+    swarm.run(40 * SECOND);
+    let gone = swarm.told.iter().filter(|told| told.standing == Standing::Lost).count();
+    assert_eq!(gone, 0);
+}
+
+#[test]
+fn a_fleet_whose_seeds_are_all_dead_at_first_meets_when_one_is_back() {
+    let mut swarm = Swarm::new(config(6), 6, 2, 13);
+    (2..6).for_each(|node| swarm.start(node));
+    swarm.run(60 * SECOND);
+    assert_eq!(present(&swarm, 4), 1, "nobody to ask");
+    swarm.start(0);
+    assert!(swarm.run_until(20 * SECOND, Swarm::whole).is_some());
+    // All seeds go for good; a node that is cut off meanwhile comes back by those that it knew.
+    swarm.split(|node| u32::from(node == 5));
+    swarm.run(20 * SECOND);
+    swarm.kill(0);
+    swarm.run(10 * SECOND);
+    swarm.split(|_| 0);
+    assert!(swarm.run_until(20 * SECOND, Swarm::whole).is_some());
+}
+
+#[test]
+fn a_restart_takes_its_older_selfs_place_whatever_its_clock_says() {
+    for (off, seed) in [(0, 14), (-3_600_000_000, 15), (3_600_000_000, 16)] {
+        let mut swarm = met(5, seed);
+        swarm.kill(4);
+        swarm.clock(4, off);
+        swarm.run(SECOND / 10);
+        swarm.start(4);
+        assert!(swarm.run_until(15 * SECOND, Swarm::whole).is_some(), "clock off by {off} us");
+    }
+}
+
+#[test]
+fn of_two_that_claim_one_name_the_later_keeps_it_and_the_other_steps_out() {
+    let mut swarm = met(5, 17);
+    swarm.kill(4);
+    swarm.run(10 * SECOND);
+    swarm.start_as(4, "n3");
+    swarm.run(5 * SECOND);
+    assert_eq!(swarm.yielded, [3]);
+    assert_eq!(present(&swarm, 0), 4);
+}
+
+#[test]
+fn what_no_peer_would_send_is_dropped_and_counted() {
+    let mut swarm = met(3, 18);
+    let before = swarm.view(0).map(|view| view.nodes);
+    let mut random = fastrand::Rng::with_seed(3);
+    for length in 0..2_000 {
+        let bytes: Vec<u8> = (0..length % 1_500).map(|_| random.u8(..)).collect();
+        swarm.inject(0, address(1), &bytes);
+    }
+    let mut other = Swarm::new(PeersConfig { cluster: "other".into(), ..config(2) }, 2, 1, 1);
+    other.start(0);
+    swarm.run(SECOND);
+    let dropped = swarm.dropped(0);
+    assert!(dropped.malformed >= 1_900, "{dropped:?}");
+    // A flood is cut off, and does not keep it from its peers for longer than it lasts.
+    for _ in 0..100_000 {
+        swarm.inject(0, SocketAddr::from(([10, 9, 9, 9], 9)), &[1, 2, 3]);
+    }
+    assert!(swarm.dropped(0).flood > 90_000, "{:?}", swarm.dropped(0));
+    swarm.run(5 * SECOND);
+    assert_eq!(swarm.view(0).map(|view| view.nodes), before);
+    assert!(swarm.run_until(10 * SECOND, Swarm::whole).is_some());
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 pub mod api;
+pub mod peers;
 pub mod policy;
 pub mod wire;
 
