Peers on their socket: a node that meets others works with the number that is present

Need: the membership had no socket, no configuration and no effect.

src/net/peers.rs carries datagrams and times, and nothing else; walkpick.peers (listen, advertise, seeds, cluster, probe_every, probe_timeout, hold, memory) turns it on, and all faults of it are told at once. Event::Nodes takes the place of settings.nodes in the decisions (in-flight limits' start, kept connections), as far as Count lets it. A farewell goes out on SIGTERM. walkpick members looks on as an observer. Without walkpick.peers no socket is opened and no task started.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -264,6 +264,8 @@
     Server,
     /// Discovery.
     Discovery,
+    /// Other nodes, where they meet their peers.
+    Peer,
 }
 
 /// Which direction of a link, as the party that connects sees it.
@@ -380,6 +382,8 @@
     pub policy: Policy,
     /// No fault of the schedule happens.
     pub no_faults: bool,
+    /// Real nodes meet their peers.
+    pub peers: bool,
 }
 
 /// What has to hold: a figure within a bound, in one arm or in each.
--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -31,6 +31,20 @@
     ("p99_ms", "99th percentile of that"),
     ("probes", "probes for each request"),
     ("rules", "broken rules"),
+    (
+        "peers_known_s",
+        "real nodes that meet: until 99 in 100 of the others knew of one that was killed, in seconds",
+    ),
+    ("peers_left_s", "the same for one that was told to go, from when it was told"),
+    ("peers_false", "real nodes that meet: words that one is lost that nothing had met"),
+    (
+        "peers_apart_s",
+        "real nodes that meet: until 9 in 10 had said that views differ, from the first fault on",
+    ),
+    (
+        "peers_agreed_s",
+        "real nodes that meet: until the last one said that views agree, from the end of the last fault",
+    ),
     ("cpu_ms", "real nodes: processor time for each request"),
     ("cpu_share", "real nodes: part of a core that a node used, on the mean"),
     ("memory_mb", "real nodes: the most memory that one held, in MiB"),
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use walkpick_lab::experiment::{self, Arm, Driver, Experiment, ExperimentError};
+use walkpick_lab::experiment::{self, Arm, Driver, Experiment, ExperimentError, What};
 use walkpick_lab::judge::{self, Result as Run};
 use walkpick_lab::membership::{Case, CASES};
 use walkpick_lab::real::{self, process, Options, RealError};
@@ -308,6 +308,9 @@
     bar.set_prefix(format!("{} {name}, seed {seed}", experiment.name));
     let told = |now: model::Micros| bar.set_position(now.min(length));
     let run = match driver {
+        Driver::Virtual if arm.peers || experiment.fault.iter().any(|fault| fault.what == What::NodeSlow) => {
+            Err(RealError::OnlyReal(name.to_owned()))
+        }
         Driver::Virtual => Ok(World::new(experiment, arm, seed).run(name, stop, &told)),
         Driver::Real => {
             let folder = how.logs.clone().unwrap_or_else(std::env::temp_dir);
--- a/lab/src/model/links.rs
+++ b/lab/src/model/links.rs
@@ -142,6 +142,21 @@
         Some(met)
     }
 
+    /// What the way from one node to another does. A fault meets it where it meets one of the two: `there` is from those
+    /// that it meets. Where it meets both, silence leaves them together, and all else is on their way too.
+    pub fn between_peers(&self, one: usize, two: usize) -> Way {
+        let mut way = Way::default();
+        for met in self.0.iter().filter(|met| met.party == Party::Peer) {
+            match (met.nodes.contains(&one), met.nodes.contains(&two)) {
+                (true, false) => way.add(&met.ways.there),
+                (false, true) => way.add(&met.ways.back),
+                (true, true) => way.add(&Way { silent: false, ..met.ways.there }),
+                _ => {}
+            }
+        }
+        way
+    }
+
     /// What the link of a node does.
     pub fn ways(&self, node: usize, party: Party, server: usize) -> Ways {
         let mut ways = Ways::default();
--- a/lab/src/real/lab.rs
+++ b/lab/src/real/lab.rs
@@ -1,6 +1,6 @@
 //! A run on real sockets: its state, its one clock, and what comes of the model's doings.
 
-use super::link::{Conditions, Door, Far, Link, Reserved};
+use super::link::{Conditions, Door, Far, Link, Reserved, ReservedDatagrams};
 use super::process::{Process, Used};
 use super::servers;
 use crate::experiment::Party;
@@ -20,6 +20,7 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -103,6 +104,8 @@
     pub discovery: Link,
     /// See `discovery`.
     pub agent: Door,
+    /// Where it meets its peers; none where peers are off.
+    pub meets: Option<Meets>,
     /// From it to each server, and the door there.
     pub servers: Vec<(Link, Door)>,
     /// What its agent has heard, in its order.
@@ -121,6 +124,15 @@
     pub lab: PathBuf,
 }
 
+/// Where a node meets its peers.
+#[derive(Debug)]
+pub struct Meets {
+    /// Its own address, kept for it.
+    pub address: ReservedDatagrams,
+    /// Where all others reach it.
+    pub advertise: SocketAddr,
+}
+
 /// All that changes.
 #[derive(Debug)]
 pub struct State {
@@ -156,6 +168,7 @@
     count: Cell<u64>,
     sooner: Notify,
     start: Cell<Option<Instant>>,
+    epoch: Cell<Micros>,
 }
 
 impl Lab {
@@ -182,6 +195,7 @@
             count: Cell::new(0),
             sooner: Notify::new(),
             start: Cell::new(None),
+            epoch: Cell::new(0),
         }))
     }
 
@@ -195,10 +209,16 @@
         self.start.get().unwrap_or_else(Instant::now) + Duration::from_micros(at)
     }
 
+    /// Unix time at the beginning, in microseconds.
+    pub fn epoch(&self) -> Micros {
+        self.epoch.get()
+    }
+
     /// Begins: time passes from here on.
     pub fn begin(self: &Rc<Self>, faults: bool) {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         self.start.set(Some(Instant::now()));
+        self.epoch.set(unix.as_micros() as Micros);
         self.state.borrow_mut().fleet.begin(unix.as_micros() as Micros);
         for (ask, asked) in self.plan.asks.iter().enumerate() {
             self.at(asked.at, Tick::Arrive { ask });
@@ -489,6 +509,8 @@
             let links: Vec<_> = match met.party {
                 Party::Client => vec![&node.clients],
                 Party::Discovery => vec![&node.discovery],
+                // Datagrams have no connections.
+                Party::Peer => vec![],
                 Party::Server => met.servers.iter().filter_map(|&i| Some(&node.servers.get(i)?.0)).collect(),
             };
             links.into_iter().for_each(|link| link.set(|now| now.resets += 1));
--- a/lab/src/real/link.rs
+++ b/lab/src/real/link.rs
@@ -1,6 +1,6 @@
 //! Links between parties: relays in this process that delay, drop, reset or fall silent, in each direction by itself.
 //!
-//! A link carries bytes of TCP connections ([`Door`], [`dial`]) or datagrams of UDP ([`datagrams`]). What a relay holds
+//! A link carries bytes of TCP connections ([`Door`], [`dial`]) or datagrams of UDP ([`mesh`]). What a relay holds
 //! is bounded, and belongs to one connection: a process started anew under the same address never sees it. What a real
 //! network does to segments a stream shows as time: a lost segment comes again after [`AGAIN`].
 
@@ -91,6 +91,33 @@
     }
 }
 
+/// Keeps a port for a process's datagrams: let go at the moment that the process is started, and found again by nobody
+/// else, as ports are given out in turn.
+#[derive(Debug)]
+pub struct ReservedDatagrams {
+    socket: std::cell::RefCell<Option<std::net::UdpSocket>>,
+    address: SocketAddr,
+}
+
+impl ReservedDatagrams {
+    /// A free port of the loopback.
+    pub fn new() -> io::Result<Self> {
+        let socket = std::net::UdpSocket::bind("127.0.0.1:0")?;
+        let address = socket.local_addr()?;
+        Ok(Self { socket: Some(socket).into(), address })
+    }
+
+    /// Where it is.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Leaves it to the process.
+    pub fn let_go(&self) {
+        self.socket.take();
+    }
+}
+
 fn bound(address: SocketAddr) -> io::Result<Socket> {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
@@ -315,54 +342,54 @@
     }
 }
 
-/// A link for datagrams between two processes. Returns where each of the two reaches the other: what the first sends to
-/// the first address comes to the second from the second address, and back.
-pub async fn datagrams(link: &Link, parties: [SocketAddr; 2]) -> io::Result<[SocketAddr; 2]> {
-    let (one, two) =
-        (Rc::new(UdpSocket::bind("127.0.0.1:0").await?), Rc::new(UdpSocket::bind("127.0.0.1:0").await?));
-    let reached = [one.local_addr()?, two.local_addr()?];
-    spawn_local(carry_datagrams(
-        one.clone(),
-        two.clone(),
-        parties[1],
-        link.watch(),
-        |now| now.ways.there,
-        link.seed,
-    ));
-    spawn_local(carry_datagrams(two, one, parties[0], link.watch(), |now| now.ways.back, !link.seed));
+/// What the way from one party to another does at present.
+pub type WayOf = Rc<dyn Fn(usize, usize) -> Way>;
+
+/// Links for datagrams among any number of processes. Returns where each of them is reached by all others: what comes
+/// there from another one's own address goes on to its own, and seems to come from where that other one is reached.
+pub async fn mesh(parties: Vec<SocketAddr>, ways: WayOf, seed: u64) -> io::Result<Vec<SocketAddr>> {
+    let mut sockets = Vec::new();
+    for _ in &parties {
+        sockets.push(UdpSocket::bind("127.0.0.1:0").await?);
+    }
+    let reached = sockets.iter().map(UdpSocket::local_addr).collect::<io::Result<Vec<_>>>()?;
+    let mesh = Rc::new(Mesh { parties, sockets, ways });
+    for to in 0..mesh.sockets.len() {
+        spawn_local(carry_datagrams(mesh.clone(), to, seed ^ (to as u64) << 32));
+    }
     Ok(reached)
 }
 
-async fn carry_datagrams(
-    from: Rc<UdpSocket>,
-    to: Rc<UdpSocket>,
-    target: SocketAddr,
-    mut conditions: watch::Receiver<Conditions>,
-    way: fn(&Conditions) -> Way,
-    seed: u64,
-) {
+struct Mesh {
+    parties: Vec<SocketAddr>,
+    sockets: Vec<UdpSocket>,
+    ways: WayOf,
+}
+
+/// All that comes for one party.
+async fn carry_datagrams(mesh: Rc<Mesh>, to: usize, seed: u64) {
     let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
     let mut buffer = vec![0; 64 * 1024];
-    let mut queue: Vec<(Instant, Vec<u8>)> = Vec::new();
+    let mut queue: Vec<(Instant, usize, Vec<u8>)> = Vec::new();
     loop {
         let next =
-            queue.iter().enumerate().min_by_key(|(_, (at, _))| *at).map(|(place, (at, _))| (place, *at));
+            queue.iter().enumerate().min_by_key(|(_, (at, ..))| *at).map(|(place, (at, ..))| (place, *at));
         tokio::select! {
-            changed = conditions.changed() => {
-                if changed.is_err() {
-                    return;
-                }
-            }
             () = sleep_until(next.map_or_else(Instant::now, |next| next.1)), if next.is_some() => {
-                let (_, datagram) = queue.swap_remove(next.map_or(0, |next| next.0));
+                let (_, from, datagram) = queue.swap_remove(next.map_or(0, |next| next.0));
                 // What is on its way when silence falls is lost, and so is what nobody takes.
-                if !way(&conditions.borrow()).silent {
-                    let _ = to.send_to(&datagram, target).await;
+                if !(mesh.ways)(from, to).silent {
+                    let _ = mesh.sockets[from].send_to(&datagram, mesh.parties[to]).await;
                 }
             }
-            received = from.recv_from(&mut buffer) => {
-                let Ok((length, _)) = received else { continue };
-                let now = way(&conditions.borrow());
+            received = mesh.sockets[to].recv_from(&mut buffer) => {
+                let Ok((length, from)) = received else { continue };
+                // Whoever else comes, an observer say, has a good way there; answers go to it straight.
+                let Some(from) = mesh.parties.iter().position(|party| *party == from) else {
+                    let _ = mesh.sockets[to].send_to(&buffer[..length], mesh.parties[to]).await;
+                    continue;
+                };
+                let now = (mesh.ways)(from, to);
                 if now.silent || random.random::<f64>() < now.loss {
                     continue;
                 }
@@ -372,7 +399,7 @@
                     let late = if overtaken { AGAIN / 4 } else { Duration::ZERO };
                     let at = Instant::now() + now.delay + now.jitter.mul_f64(random.random()) + late;
                     if queue.len() < DATAGRAMS {
-                        queue.push((at, buffer[..length].to_vec()));
+                        queue.push((at, from, buffer[..length].to_vec()));
                     }
                 }
             }
@@ -548,27 +575,27 @@
     async fn datagrams_come_from_where_their_sender_is_reached_and_are_lost_in_silence() {
         LocalSet::new()
             .run_until(async {
-                let (one, two) = (
-                    UdpSocket::bind("127.0.0.1:0").await.unwrap(),
-                    UdpSocket::bind("127.0.0.1:0").await.unwrap(),
-                );
-                let link = Link::new(1);
-                let parties = [one.local_addr().unwrap(), two.local_addr().unwrap()];
-                let [to_two, to_one] = datagrams(&link, parties).await.unwrap();
+                let bind = || UdpSocket::bind("127.0.0.1:0");
+                let (one, two) = (bind().await.unwrap(), bind().await.unwrap());
+                let parties = vec![one.local_addr().unwrap(), two.local_addr().unwrap()];
+                let there = Rc::new(Cell::new(Way::default()));
+                let held = there.clone();
+                let ways: WayOf = Rc::new(move |from, _| if from == 0 { held.get() } else { Way::default() });
+                let reached = mesh(parties, ways, 1).await.unwrap();
                 let mut buffer = [0; 8];
-                one.send_to(b"ping", to_two).await.unwrap();
+                one.send_to(b"ping", reached[1]).await.unwrap();
                 let (length, from) = timeout(PATIENCE, two.recv_from(&mut buffer)).await.unwrap().unwrap();
-                assert_eq!((&buffer[..length], from), (&b"ping"[..], to_one));
+                assert_eq!((&buffer[..length], from), (&b"ping"[..], reached[0]));
                 two.send_to(b"pong", from).await.unwrap();
                 let (length, from) = timeout(PATIENCE, one.recv_from(&mut buffer)).await.unwrap().unwrap();
-                assert_eq!((&buffer[..length], from), (&b"pong"[..], to_two));
-                link.set(|now| now.ways.there.silent = true);
-                one.send_to(b"lost", to_two).await.unwrap();
-                // The way back still carries: what comes there next is all that comes.
-                two.send_to(b"back", to_one).await.unwrap();
+                assert_eq!((&buffer[..length], from), (&b"pong"[..], reached[1]));
+                there.set(Way { silent: true, ..Way::default() });
+                one.send_to(b"lost", reached[1]).await.unwrap();
+                // The way back still carries: by the time that this has come, the other is lost.
+                two.send_to(b"back", reached[0]).await.unwrap();
                 timeout(PATIENCE, one.recv_from(&mut buffer)).await.unwrap().unwrap();
-                link.set(|now| now.ways.there = Way { duplicate: 1.0, ..Way::default() });
-                one.send_to(b"next", to_two).await.unwrap();
+                there.set(Way { duplicate: 1.0, ..Way::default() });
+                one.send_to(b"next", reached[1]).await.unwrap();
                 for _ in 0..2 {
                     let (length, _) = timeout(PATIENCE, two.recv_from(&mut buffer)).await.unwrap().unwrap();
                     assert_eq!(&buffer[..length], b"next");
--- a/lab/src/real/mod.rs
+++ b/lab/src/real/mod.rs
@@ -5,11 +5,12 @@
 mod faults;
 mod lab;
 pub mod link;
+mod meetings;
 mod nodes;
 pub mod process;
 mod servers;
 
-use crate::experiment::{Arm, Experiment, Policy};
+use crate::experiment::{Arm, Driver, Experiment, Policy};
 use crate::judge::Result as Run;
 use crate::model::Micros;
 use crate::plan::Plan;
@@ -66,6 +67,9 @@
         /// What there is.
         most: u64,
     },
+    /// It needs processes.
+    #[error("arm {0}: peers and node-slow need real nodes: --driver real")]
+    OnlyReal(String),
     /// The arm's decisions are no program's.
     #[error("arm {0}: its decisions run in simulated time only")]
     NoProgram(String),
@@ -107,6 +111,9 @@
         let lab = Lab::new(plan.clone()).map_err(machine("the lab's state"))?;
         policies::fill(&plan, arm.policy, &mut lab.state.borrow_mut().fleet);
         nodes::place(&lab, options).map_err(machine("links for the nodes"))?;
+        if arm.peers {
+            nodes::meet(&lab).await.map_err(machine("links between the nodes"))?;
+        }
         // All of them, whatever comes: dropped, they kill their processes.
         let ran = rehearse(&lab, !arm.no_faults, stop, told).await;
         let ended = end(&lab).await;
@@ -255,6 +262,11 @@
         ("late_max_ms", late_max),
     ];
     let mut run = state.record.result(&lab.plan, name, further);
+    let logs: Vec<_> = state.nodes.iter().map(|node| node.log.clone()).collect();
+    if state.nodes.iter().any(|node| node.meets.is_some()) {
+        run.figures.extend(meetings::figures(&lab.plan, lab.epoch(), &run.spans, &logs));
+        run.checks = crate::judge::check(&lab.plan.experiment, name, Driver::Real, &run.figures);
+    }
     (run.driver, run.void, run.interrupted) = ("real", void, interrupted);
     run
 }
--- a/lab/src/real/nodes.rs
+++ b/lab/src/real/nodes.rs
@@ -1,11 +1,12 @@
 //! The nodes of a run: their folder, configuration, links, start and end.
 
 use super::agent;
-use super::lab::{Lab, Node};
-use super::link::{Door, Far, Link, Reserved};
+use super::lab::{Lab, Meets, Node};
+use super::link::{mesh, Door, Far, Link, Reserved, ReservedDatagrams, WayOf};
 use super::process::{Process, ProcessError, Used};
 use super::Options;
 use crate::draw::{self, Stream};
+use crate::model::links::Way;
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io;
@@ -13,6 +14,8 @@
 use tokio::sync::watch;
 use walkpick::{Effect, Scope};
 
+/// The first nodes are everybody's seeds.
+const SEEDS: usize = 3;
 /// Descriptors of a node, as on the scored days.
 const SOCKETS: u32 = 1_024;
 
@@ -37,6 +40,7 @@
             clients,
             discovery,
             servers: Vec::new(),
+            meets: None,
             heard: Vec::new(),
             news: watch::Sender::new(0),
             told: HashMap::new(),
@@ -50,6 +54,23 @@
     lab.open_doors()
 }
 
+/// Lays the links between nodes, where they meet their peers.
+pub async fn meet(lab: &Rc<Lab>) -> io::Result<()> {
+    let count = lab.state.borrow().nodes.len();
+    let own = (0..count).map(|_| ReservedDatagrams::new()).collect::<io::Result<Vec<_>>>()?;
+    let held = Rc::downgrade(lab);
+    let ways: WayOf = Rc::new(move |one, two| {
+        let lab = held.upgrade();
+        lab.map_or_else(Way::default, |lab| lab.state.borrow().links.between_peers(one, two))
+    });
+    let reached = mesh(own.iter().map(ReservedDatagrams::address).collect(), ways, lab.plan.seed).await?;
+    let state = &mut *lab.state.borrow_mut();
+    for (node, (address, advertise)) in state.nodes.iter_mut().zip(own.into_iter().zip(reached)) {
+        node.meets = Some(Meets { address, advertise });
+    }
+    Ok(())
+}
+
 fn link(lab: &Lab, node: usize, which: u64) -> Link {
     Link::new(draw::unit(lab.plan.seed, Stream::Network, (node as u64) << 8 | which | 1 << 50).to_bits())
 }
@@ -73,6 +94,9 @@
     let state = &mut *lab.state.borrow_mut();
     let node = &mut state.nodes[node];
     node.life += 1;
+    if let Some(meets) = &node.meets {
+        meets.address.let_go();
+    }
     node.process = Some(Process::start(&node.lab, &node.program, &node.config, &node.log)?);
     Ok(())
 }
@@ -101,12 +125,24 @@
     let state = lab.state.borrow();
     let held = &state.nodes[node];
     let seed = lab.plan.node_seed(node, held.life);
-    json!({
+    let mut config = json!({
         "name": held.name, "listen": held.address.address().to_string(), "seed": format!("{seed:016x}"),
         "discovery": held.agent.address().to_string(), "known": known,
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS},
         "settings": settings(lab, held),
-    })
+    });
+    if let Some(meets) = &held.meets {
+        let seeds = state
+            .nodes
+            .iter()
+            .take(SEEDS)
+            .filter_map(|node| Some(node.meets.as_ref()?.advertise.to_string()));
+        config["walkpick"] = json!({"peers": {
+            "listen": meets.address.address().to_string(), "advertise": meets.advertise.to_string(),
+            "seeds": seeds.collect::<Vec<_>>(), "cluster": "lab",
+        }, "log": {"format": "json"}});
+    }
+    config
 }
 
 fn settings(lab: &Lab, node: &Node) -> Value {
--- a/lab/src/swarm.rs
+++ b/lab/src/swarm.rs
@@ -19,7 +19,7 @@
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Next {
-    Datagram { to: usize, from: SocketAddr, data: Vec<u8> },
+    Datagram { to: usize, data: Vec<u8> },
     Timers { node: usize, life: u32 },
 }
 
@@ -39,7 +39,7 @@
 struct Node {
     peers: Option<Peers>,
     life: u32,
-    paused: Option<Vec<(SocketAddr, Vec<u8>)>>,
+    paused: Option<Vec<Vec<u8>>>,
     group: u32,
     clock_us: i64,
     wakes: Option<Micros>,
@@ -170,8 +170,8 @@
 
     /// It goes on: first with what waited.
     pub fn resume(&mut self, node: usize) {
-        for (from, data) in self.nodes[node].paused.take().unwrap_or_default() {
-            self.hand_over(node, from, &data);
+        for data in self.nodes[node].paused.take().unwrap_or_default() {
+            self.hand_over(node, &data);
         }
         self.timers(node);
     }
@@ -196,9 +196,9 @@
         self.nodes[node].peers.as_ref().map(|peers| peers.view(self.now))
     }
 
-    /// Sends a node some bytes as if they came from there.
-    pub fn inject(&mut self, node: usize, from: SocketAddr, data: &[u8]) {
-        self.hand_over(node, from, data);
+    /// Sends a node some bytes.
+    pub fn inject(&mut self, node: usize, data: &[u8]) {
+        self.hand_over(node, data);
     }
 
     /// The datagrams that a node has dropped.
@@ -213,7 +213,7 @@
             let Some(Reverse((at, _, next))) = self.queue.pop() else { break };
             self.now = at;
             match next {
-                Next::Datagram { to, from, data } => self.hand_over(to, from, &data),
+                Next::Datagram { to, data } => self.hand_over(to, &data),
                 Next::Timers { node, life } => {
                     if self.nodes[node].life == life {
                         self.nodes[node].wakes = None;
@@ -277,19 +277,19 @@
         self.queue.push(Reverse((at.max(self.now), self.count, next)));
     }
 
-    fn hand_over(&mut self, node: usize, from: SocketAddr, data: &[u8]) {
+    fn hand_over(&mut self, node: usize, data: &[u8]) {
         /// Datagrams that a socket's queue holds.
         const QUEUE: usize = 256;
         let held = &mut self.nodes[node];
         if let Some(waiting) = &mut held.paused {
             if waiting.len() < QUEUE {
-                waiting.push((from, data.to_vec()));
+                waiting.push(data.to_vec());
             }
             return;
         }
         let mut out = Vec::new();
         if let Some(peers) = &mut held.peers {
-            peers.datagram(self.now, from, data, &mut out);
+            peers.datagram(self.now, data, &mut out);
         }
         self.carry_out(node, out);
         self.wake(node);
@@ -327,7 +327,7 @@
             let way = self.random.random_range(WAY_US.0..WAY_US.1) + self.way.delay.as_micros() as Micros;
             let jitter = self.way.jitter.mul_f64(self.random.random()).as_micros() as Micros;
             let late = if self.random.random::<f64>() < self.way.reorder { 50_000 } else { 0 };
-            let next = Next::Datagram { to, from: address(node), data: data.clone() };
+            let next = Next::Datagram { to, data: data.clone() };
             self.at(self.now + way + jitter + late, next);
         }
     }
--- a/lab/tests/membership.rs
+++ b/lab/tests/membership.rs
@@ -1,7 +1,6 @@
 //! Membership in simulated time: the hard cases, each on a network that loses datagrams as well as on a good one.
 
-use std::net::SocketAddr;
-use walkpick::peers::{Agreement, PeersConfig, Standing};
+use walkpick::peers::{Agreement, Output, Peer, Peers, PeersConfig, Standing};
 use walkpick_lab::membership::{run, Case};
 use walkpick_lab::model::links::Way;
 use walkpick_lab::model::SECOND;
@@ -168,16 +167,27 @@
     let mut random = fastrand::Rng::with_seed(3);
     for length in 0..2_000 {
         let bytes: Vec<u8> = (0..length % 1_500).map(|_| random.u8(..)).collect();
-        swarm.inject(0, address(1), &bytes);
+        swarm.inject(0, &bytes);
     }
-    let mut other = Swarm::new(PeersConfig { cluster: "other".into(), ..config(2) }, 2, 1, 1);
-    other.start(0);
-    swarm.run(SECOND);
+    // One of another cluster asks to join.
+    let other = PeersConfig { cluster: "other".into(), seeds: vec![address(0)], ..config(2) };
+    let more = b"later".to_vec();
+    let me = Peer { address: address(9), order: 1, salt: 1, observer: false, name: "x".into(), more };
+    let (mut stranger, mut out) = (Peers::new(other, me, 1, 0), Vec::new());
+    stranger.timers(0, &mut out);
+    let asks = out.iter().filter_map(|output| match output {
+        Output::Send { data, .. } => Some(data),
+        _ => None,
+    });
+    // Some of the garbage may have named a cluster, and not this one.
+    let before_it = swarm.dropped(0).foreign;
+    assert_eq!(asks.map(|data| swarm.inject(0, data)).count(), 1);
     let dropped = swarm.dropped(0);
+    assert_eq!(dropped.foreign, before_it + 1);
     assert!(dropped.malformed >= 1_900, "{dropped:?}");
     // A flood is cut off, and does not keep it from its peers for longer than it lasts.
     for _ in 0..100_000 {
-        swarm.inject(0, SocketAddr::from(([10, 9, 9, 9], 9)), &[1, 2, 3]);
+        swarm.inject(0, &[1, 2, 3]);
     }
     assert!(swarm.dropped(0).flood > 90_000, "{:?}", swarm.dropped(0));
     swarm.run(5 * SECOND);
--- a/lab/tests/processes.rs
+++ b/lab/tests/processes.rs
@@ -72,6 +72,14 @@
     serde_json::from_str::<Value>(&text).unwrap()["runs"][0].take()
 }
 
+fn try_log(folder: &Folder, node: &str) -> Option<String> {
+    let run = std::fs::read_dir(&folder.0)
+        .unwrap()
+        .map(|entry| entry.unwrap().path())
+        .find(|path| path.is_dir())?;
+    std::fs::read_to_string(run.join(format!("{node}.log"))).ok()
+}
+
 /// The log of a node, of the one run in this folder.
 fn log(folder: &Folder, node: &str) -> String {
     let runs = std::fs::read_dir(&folder.0).unwrap().map(|entry| entry.unwrap().path());
@@ -130,6 +138,44 @@
     assert_eq!(simulated["driver"], "virtual");
 }
 
+#[test]
+fn real_nodes_meet_their_peers_and_an_observer_sees_one_lost_and_back() {
+    let folder = Folder::new("peers");
+    let faults = "[arm.peers]\npeers = true\n\
+                  [[fault]]\nwhat = \"node-killed\"\nfrom = \"2s\"\nto = \"12s\"\npart = 0.25\n";
+    let experiment = small(4, faults).replace("5s", "40s");
+    let mut child = lab(&folder, &experiment, &node()).stderr(Stdio::null()).spawn().unwrap();
+    let logs = || -> Vec<String> {
+        (0..4).map(|i| wait_for("its log", || try_log(&folder, &format!("n{i}")))).collect()
+    };
+    let counts = |text: &str| logs().iter().map(|log| log.matches(text).count()).collect::<Vec<_>>();
+    wait_for("that one is lost to the three others", || {
+        (counts("a peer is lost").iter().filter(|count| **count > 0).count() >= 3).then_some(())
+    });
+    let lost = (0..4).find(|&i| !logs()[i].contains("a peer is lost")).unwrap();
+    wait_for("its return", || (counts(" listens on ")[lost] == 2).then_some(()));
+    let run =
+        std::fs::read_dir(&folder.0).unwrap().map(|entry| entry.unwrap().path()).find(|path| path.is_dir());
+    let config = std::fs::read_to_string(run.unwrap().join(format!("n{}.json", (lost + 1) % 3))).unwrap();
+    let config: Value = serde_json::from_str(&config).unwrap();
+    let seed = config["walkpick"]["peers"]["advertise"].as_str().unwrap().to_owned();
+    let members = || {
+        let arguments = ["members", "--cluster", "lab", "--json", "--within", "10s", "--seed", &seed];
+        let output = Command::new(node()).args(arguments).output().unwrap();
+        serde_json::from_slice::<Value>(&output.stdout).unwrap()
+    };
+    let view = wait_for("four that agree", || {
+        Some(members()).filter(|view| view["nodes"] == 4 && view["agreement"] == "agreed")
+    });
+    let names: Vec<_> =
+        view["peers"].as_array().unwrap().iter().map(|seen| seen["peer"]["name"].as_str().unwrap()).collect();
+    assert_eq!(names, ["n0", "n1", "n2", "n3"]);
+    assert!(Command::new("kill").arg("-INT").arg(child.id().to_string()).status().unwrap().success());
+    child.wait().unwrap();
+    // Told to go, each says farewell; the last one has nobody to say it to.
+    assert!(counts("a peer has left").iter().sum::<usize>() > 0);
+}
+
 #[test]
 fn a_lab_that_is_killed_outright_leaves_no_node_behind() {
     let folder = Folder::new("killed");
--- a/src/api.rs
+++ b/src/api.rs
@@ -391,6 +391,9 @@
     Restored(Arc<[ServerEntry]>),
     /// Word from discovery.
     Servers(ServerList),
+    /// So many nodes there are, in place of [`Settings::nodes`]; whoever says so has made sure that a node which is
+    /// merely cut off is not told fewer.
+    Nodes(u32),
     /// A client asks.
     Request(Request),
     /// An attempt's answer has begun to stream to the client.
--- a/src/check.rs
+++ b/src/check.rs
@@ -1,7 +1,7 @@
 //! `walkpick check-config`: what a node would do with a configuration, or all that is wrong with it.
 
 use crate::net::config::fault::{ConfigError, Fault};
-use crate::net::config::section::{Log, ITEMS};
+use crate::net::config::section::{Log, PeersSection, ITEMS};
 use crate::net::config::{self, Config};
 use crate::net::lifecycle::Stop;
 use clap::Args;
@@ -45,6 +45,8 @@
     /// After SIGTERM.
     stop: StopPlan,
     log: Log,
+    /// Where it meets its peers.
+    peers: Option<PeersSection>,
     /// What can be done, and was probably not meant.
     remarks: Vec<String>,
 }
@@ -142,6 +144,7 @@
                 gone: after(stop.gone_by),
             },
             log: config.section.log.clone(),
+            peers: Some(config.section.peers.clone()).filter(|peers| peers.listen.is_some()),
             remarks: remarks(config),
         }
     }
@@ -159,6 +162,12 @@
              log        {log}\n",
             self.name, self.nodes, self.listen, self.connections, self.discovery, self.known_servers,
         );
+        match &self.peers {
+            Some(peers) => {
+                text += &format!("peers      {}\n", serde_json::to_string(peers).unwrap_or_default())
+            }
+            None => text += "peers      none: it works with the configured number of nodes\n",
+        }
         for ClassPlan { name, effect, aim, deadline } in &self.classes {
             text += &format!("class      {name}: {effect}, wanted within {aim}, deadline {deadline}\n");
         }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,6 +2,7 @@
 //! in `main`.
 
 use crate::check::CheckConfig;
+use crate::members::Members;
 use clap::{Parser, Subcommand};
 
 /// Sends requests to cache servers, past those that fail.
@@ -18,4 +19,6 @@
     Node,
     /// Tell what a node would do with a configuration, or everything that is wrong with it
     CheckConfig(CheckConfig),
+    /// Look on at the nodes that have met, and tell who is present and whose views differ
+    Members(Members),
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,11 +5,13 @@
 mod check;
 mod cli;
 mod log;
+mod members;
 mod net {
     pub mod config;
     pub mod discovery;
     pub mod driver;
     pub mod lifecycle;
+    pub mod peers;
     pub mod server;
     pub mod upstream;
 }
@@ -21,6 +23,7 @@
 use net::discovery::Discovery;
 use net::driver::{Driver, Input};
 use net::lifecycle::{Pulse, Stage, Stop};
+use net::peers::Peering;
 use net::server::{serve, Front};
 use net::upstream::Upstream;
 use std::error::Error;
@@ -46,6 +49,7 @@
     let done = match command {
         None | Some(Command::Node) => node().map(|()| true),
         Some(Command::CheckConfig(check)) => check.run().map_err(Into::into),
+        Some(Command::Members(members)) => members.run(),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
@@ -81,6 +85,16 @@
     let listener =
         TcpListener::bind(listen).await.map_err(|error| format!("cannot listen on {listen}: {error}"))?;
     info!(target: "node", "node {name} listens on {}", listener.local_addr()?);
+    let peering = match section.peers.listen {
+        None => None,
+        Some(listen) => {
+            let (config, advertise) = (section.peers.of(settings.nodes), section.peers.advertise);
+            let opened = Peering::open(listen, advertise, config, &name, false, seed).await;
+            let opened = opened.map_err(|error| format!("cannot listen on {listen} for peers: {error}"))?;
+            info!(target: "peers", address = %opened.address(), "node {name} meets its peers");
+            Some(opened)
+        }
+    };
 
     // Unbounded, and bounded all the same by the connections: each has one request, or one attempt, in it.
     let (events, inputs) = mpsc::unbounded_channel();
@@ -103,6 +117,11 @@
     spawn_local(reload(hangup, path, moves));
     let balancer = Balancer::new(settings, seed);
     spawn_local(Driver::new(balancer, upstream, follow, ready, events.clone()).run(known, inputs));
+    if let Some(peering) = peering {
+        let events = events.clone();
+        let tell = move |nodes| drop(events.send(Input::Nodes(nodes)));
+        spawn_local(net::peers::run(peering, stages.subscribe(), tell));
+    }
     let mut serving = spawn_local(serve(listener, front.clone(), most));
 
     let beating = pulse.clone();
--- a/src/net/config/section.rs
+++ b/src/net/config/section.rs
@@ -2,16 +2,62 @@
 //! once in [`ITEMS`]; `docs/configuration.md` and the types are held against that by tests.
 
 use super::fault::Fault;
+use humantime::format_duration;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
+use walkpick::peers::{CountRules, PeersConfig};
 
 /// The section, with a default for each value.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Section {
     pub log: Log,
+    pub peers: PeersSection,
+}
+
+/// Membership among the nodes; off where `listen` is not given.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PeersSection {
+    pub advertise: Option<SocketAddr>,
+    pub cluster: String,
+    #[serde(with = "humantime_serde")]
+    pub hold: Duration,
+    pub listen: Option<SocketAddr>,
+    #[serde(with = "humantime_serde")]
+    pub memory: Duration,
+    #[serde(with = "humantime_serde")]
+    pub probe_every: Duration,
+    #[serde(with = "humantime_serde")]
+    pub probe_timeout: Duration,
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl Default for PeersSection {
+    fn default() -> Self {
+        let PeersConfig { cluster, seeds, probe_every, probe_timeout, count, .. } = PeersConfig::default();
+        let (hold, memory) = (count.hold, count.memory);
+        Self { advertise: None, cluster, hold, listen: None, memory, probe_every, probe_timeout, seeds }
+    }
+}
+
+impl PeersSection {
+    /// What the membership is told, with so many nodes configured.
+    pub fn of(&self, nodes: u32) -> PeersConfig {
+        let base = PeersConfig::default();
+        PeersConfig {
+            cluster: self.cluster.clone(),
+            seeds: self.seeds.clone(),
+            probe_every: self.probe_every,
+            probe_timeout: self.probe_timeout,
+            count: CountRules { hold: self.hold, memory: self.memory, ..base.count },
+            nodes,
+            ..base
+        }
+    }
 }
 
 /// What is written to standard error, and how.
@@ -59,7 +105,7 @@
 }
 
 /// Subsystems that log under a name of their own.
-pub const SUBSYSTEMS: &[&str] = &["clients", "discovery", "log", "node", "policy", "request"];
+pub const SUBSYSTEMS: &[&str] = &["clients", "discovery", "log", "node", "peers", "policy", "request"];
 
 const LEVELS: &[&str] = &["off", "error", "warn", "info", "debug", "trace"];
 
@@ -69,6 +115,12 @@
     OneOf(&'static [&'static str]),
     /// A whole number, with its least and its most.
     Count(u64, u64),
+    /// A text of so many bytes at the most, and not empty.
+    Text(usize),
+    /// An address with a port.
+    Address,
+    /// A list of those.
+    Addresses,
     /// A text such as `250ms`, with its least and its most.
     Time(Duration, Duration),
     /// An object: to each of these names, one of those words.
@@ -118,6 +170,54 @@
         default: "\"1s\"",
         about: "the time over which like lines are counted",
     },
+    Item {
+        path: "peers.advertise",
+        kind: Kind::Address,
+        default: "null",
+        about: "where other nodes reach `peers.listen`; the same address where it is not given",
+    },
+    Item {
+        path: "peers.cluster",
+        kind: Kind::Text(32),
+        default: "\"walkpick\"",
+        about: "datagrams of a cluster with another name are dropped",
+    },
+    Item {
+        path: "peers.hold",
+        kind: Kind::Time(Duration::from_secs(1), Duration::from_secs(3600)),
+        default: "\"10s\"",
+        about: "fewer nodes are believed once views have agreed on them for so long",
+    },
+    Item {
+        path: "peers.listen",
+        kind: Kind::Address,
+        default: "null",
+        about: "where this node meets its peers, by UDP; without it it meets nobody",
+    },
+    Item {
+        path: "peers.memory",
+        kind: Kind::Time(Duration::from_secs(10), Duration::from_secs(24 * 3600)),
+        default: "\"5m\"",
+        about: "for so long no fewer nodes are believed than half of the most that were",
+    },
+    Item {
+        path: "peers.probe_every",
+        kind: Kind::Time(Duration::from_millis(100), Duration::from_secs(60)),
+        default: "\"400ms\"",
+        about: "how often this node looks whether a peer is there",
+    },
+    Item {
+        path: "peers.probe_timeout",
+        kind: Kind::Time(Duration::from_millis(10), Duration::from_secs(30)),
+        default: "\"180ms\"",
+        about: "an answer that takes longer is asked for by way of others; at the most half of `peers.probe_every`",
+    },
+    Item {
+        path: "peers.seeds",
+        kind: Kind::Addresses,
+        default: "[]",
+        about: "where other nodes may be met; any of them may be down",
+    },
 ];
 
 impl Kind {
@@ -128,6 +228,9 @@
         match self {
             Self::OneOf(choices) => format!("one of {}", words(choices)),
             Self::Count(least, most) => format!("a whole number from {least} to {most}"),
+            Self::Text(most) => format!("a text of 1 to {most} bytes"),
+            Self::Address => "an address and port".to_owned(),
+            Self::Addresses => "a list of addresses and ports".to_owned(),
             Self::Time(least, most) => format!("a time as text from `{}` to `{}`", time(*least), time(*most)),
             Self::Map(names, choices) => {
                 format!("an object of names among {}, each with one of {}", words(names), words(choices))
@@ -139,6 +242,14 @@
         let right = match self {
             Self::OneOf(choices) => value.as_str().is_some_and(|text| choices.contains(&text)),
             Self::Count(least, most) => value.as_u64().is_some_and(|count| (*least..=*most).contains(&count)),
+            Self::Text(most) => value.as_str().is_some_and(|text| (1..=*most).contains(&text.len())),
+            Self::Address => value.as_str().is_some_and(|text| text.parse::<SocketAddr>().is_ok()),
+            Self::Addresses => value.as_array().is_some_and(|list| {
+                for (i, value) in list.iter().enumerate() {
+                    Self::Address.check(&format!("{place}[{i}]"), value, faults);
+                }
+                true
+            }),
             Self::Time(least, most) => {
                 let time = value.as_str().and_then(|text| humantime::parse_duration(text).ok());
                 time.is_some_and(|time| (*least..=*most).contains(&time))
@@ -185,10 +296,27 @@
     if faults.len() > before {
         return Section::default();
     }
-    serde_json::from_value(value.clone()).unwrap_or_else(|error| {
+    let section: Section = serde_json::from_value(value.clone()).unwrap_or_else(|error| {
         faults.push(Fault::new("walkpick", error.to_string(), "what docs/configuration.md lists"));
         Section::default()
-    })
+    });
+    let peers = &section.peers;
+    if value.get("peers").is_some() && peers.listen.is_none() {
+        faults.push(Fault::new(
+            "walkpick.peers.listen",
+            "nothing",
+            "an address and port, where peers are configured",
+        ));
+    }
+    if peers.probe_timeout * 2 > peers.probe_every {
+        let found = format_duration(peers.probe_timeout).to_string();
+        faults.push(Fault::new(
+            "walkpick.peers.probe_timeout",
+            found,
+            "half of `peers.probe_every` at the most",
+        ));
+    }
+    section
 }
 
 /// Checks an object of the section. `path` is what stands before its names in [`ITEMS`].
@@ -281,7 +409,7 @@
                 "walkpick.log.levle: found an unknown name, expected a known name: did you mean `level`?",
                 "walkpick.log.like_lines: found -3, expected a whole number from 1 to 1000000",
                 "walkpick.log.window: found \"-1s\", expected a time as text from `100ms` to `1h`",
-                "walkpick.zzz: found an unknown name, expected one of the names log",
+                "walkpick.zzz: found an unknown name, expected one of the names log, peers",
             ]
         );
         assert_eq!(faults_of(json!(7)), ["walkpick: found 7, expected an object"]);
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -31,6 +31,8 @@
 pub enum Input {
     Client(Word),
     Discovery(News),
+    /// So many nodes there are, as far as this one may rely on it.
+    Nodes(u32),
     Ended {
         id: RequestId,
         attempt: u32,
@@ -178,6 +180,7 @@
                     if listing.whole { ServerList::Full(entries) } else { ServerList::Changes(entries) };
                 self.due.push_back(Event::Servers(list));
             }
+            Input::Nodes(nodes) => self.due.push_back(Event::Nodes(nodes)),
             Input::Stopping { answer_by } => self.stop(answer_by),
             Input::Discovery(News::Failed) => self.due.push_back(Event::Servers(ServerList::Unavailable)),
         }
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -452,7 +452,7 @@
     }
 
     /// A datagram has come.
-    pub fn datagram(&mut self, now: Micros, from: SocketAddr, data: &[u8], out: &mut Vec<Output>) {
+    pub fn datagram(&mut self, now: Micros, data: &[u8], out: &mut Vec<Output>) {
         let (left, at) = self.allowance;
         let refilled = left + now.saturating_sub(at) as f64 * MOST_DATAGRAMS / 1e6;
         self.allowance = (refilled.min(MOST_DATAGRAMS), now);
@@ -472,17 +472,25 @@
             self.dropped.foreign += 1;
             return;
         }
-        if self.standing.len() >= MOST_PEERS && !self.standing.contains_key(&from) {
+        // Who sent it is in it: behind a relay or a mapping it comes from elsewhere.
+        let Ok((header, _)) = postcard::take_from_bytes::<foca::Header<Peer>>(envelope.payload) else {
+            self.dropped.malformed += 1;
+            return;
+        };
+        let sender = header.src.address;
+        if self.standing.len() >= MOST_PEERS && !self.standing.contains_key(&sender) {
             self.dropped.crowd += 1;
             return;
         }
         let mut asked = Asked::default();
         if self.foca.handle_data(envelope.payload, &mut asked).is_err() {
             self.dropped.malformed += 1;
-        } else if self.standing.get(&from).is_some_and(|(peer, ..)| !peer.observer) {
-            self.heard.insert(from, Heard { at: now, digest: envelope.digest });
         }
+        let digest = envelope.digest;
         self.carry_out(now, asked, out);
+        if self.standing.get(&sender).is_some_and(|(peer, ..)| !peer.observer) {
+            self.heard.insert(sender, Heard { at: now, digest });
+        }
     }
 
     /// Time has come for what is due. Datagrams that wait are to be handed over first: after a sleep they say who is
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -63,10 +63,15 @@
     filled: Timestamp,
 }
 
+/// Where the in-flight limits begin: the part of one of so many nodes.
+fn limit_start(nodes: u32) -> f64 {
+    (SERVER_SLOTS / f64::from(nodes.max(1))).max(1.0)
+}
+
 impl Balancer {
     /// A balancer that knows no server yet. `seed` should differ between nodes.
     pub fn new(mut settings: Settings, seed: u64) -> Self {
-        let limit_start = (SERVER_SLOTS / f64::from(settings.nodes.max(1))).max(1.0);
+        let limit_start = limit_start(settings.nodes);
         let quickest = settings.classes.iter().map(|class| class.aim).min().unwrap_or_default();
         let rate_span = (quickest * RATE_AIMS).max(Duration::from_millis(1));
         // The last class is for requests of none: the most careful one.
@@ -105,6 +110,9 @@
         (self.good, self.bad, self.counted) = (self.good * faded, self.bad * faded, now);
         self.make_room(now);
         match event {
+            Event::Nodes(nodes) => {
+                (self.settings.nodes, self.limit_start) = (nodes, limit_start(nodes));
+            }
             Event::Restored(list) | Event::Servers(ServerList::Full(list)) => self.learn(now, &list, true),
             Event::Servers(ServerList::Changes(list)) => self.learn(now, &list, false),
             // Asked for again after a while: discovery that fails is loaded enough.
--- a/tests/check_config.rs
+++ b/tests/check_config.rs
@@ -76,17 +76,38 @@
     );
 }
 
+#[test]
+fn peers_that_nobody_can_meet_are_refused_with_the_place() {
+    let mut wrong = good();
+    wrong["walkpick"] = json!({"peers": {"cluster": "", "seeds": ["10.0.0.1:7946", "nowhere"]}});
+    assert_eq!(
+        said_of_config(&wrong),
+        [
+            "walkpick.peers.cluster: found \"\", expected a text of 1 to 32 bytes",
+            "walkpick.peers.seeds[1]: found \"nowhere\", expected an address and port",
+        ]
+    );
+    wrong["walkpick"] = json!({"peers": {"probe_every": "200ms"}});
+    assert_eq!(
+        said_of_config(&wrong),
+        [
+            "walkpick.peers.listen: found nothing, expected an address and port, where peers are configured",
+            "walkpick.peers.probe_timeout: found 180ms, expected half of `peers.probe_every` at the most",
+        ]
+    );
+}
+
 #[test]
 fn unknown_names_are_refused_in_the_own_section_and_passed_over_elsewhere() {
     let mut odd = good();
     odd["region"] = "central".into();
     odd["settings"]["new_one"] = 1.into();
-    odd["walkpick"] = json!({"log": {"formatt": "json"}, "peers": {}});
+    odd["walkpick"] = json!({"log": {"formatt": "json"}, "states": {}});
     assert_eq!(
         said_of_config(&odd),
         [
             "walkpick.log.formatt: found an unknown name, expected a known name: did you mean `format`?",
-            "walkpick.peers: found an unknown name, expected one of the names log",
+            "walkpick.states: found an unknown name, expected one of the names log, peers",
         ]
     );
 }
