Tests that run a program take one that lies ready, and a kept port has its test

Cause: in the eleventh of twenty runs on a loaded machine a test hung: it had written the script that it ran, a child of another test still had the file open for writing between fork and exec, and the script could not be run ("text file busy"). The scripts are files of the tests now. Beside it: a test that a kept port is listened on again and given to nobody else, and one that what later versions add to a datagram or an identity is passed over or carried.

--- a/lab/src/real/link.rs
+++ b/lab/src/real/link.rs
@@ -499,6 +499,17 @@
             .await;
     }
 
+    // Guards against a port that somebody else takes between two lives of a node.
+    #[test]
+    fn a_kept_port_is_listened_on_again_and_again_and_given_to_nobody_else() {
+        let kept = Reserved::tcp().unwrap();
+        for _ in 0..3 {
+            drop(std::net::TcpListener::bind(kept.address()).unwrap());
+        }
+        let others: Vec<_> = (0..200).map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+        assert!(others.iter().all(|other| other.local_addr().unwrap() != kept.address()));
+    }
+
     // Guards against a relay that holds more and more for a peer that does not read.
     #[tokio::test(start_paused = true)]
     async fn a_direction_holds_a_bounded_number_of_pieces() {
--- a/lab/tests/membership.rs
+++ b/lab/tests/membership.rs
@@ -25,11 +25,11 @@
 #[test]
 fn a_kill_a_leave_and_a_roll_are_known_in_time_and_nobody_else_is_taken_for_gone() {
     for (nodes, loss) in [(5, 0.0), (5, 0.1), (40, 0.1)] {
-        let kill = run(Case::Kill, nodes, loss, 1);
+        let kill = run(Case::Kill, nodes, loss, 1, SECOND);
         assert!(kill.known_p99_s.is_some_and(|time| time <= 5.0), "{kill:?}");
-        let leave = run(Case::Leave, nodes, loss, 2);
+        let leave = run(Case::Leave, nodes, loss, 2, SECOND);
         assert!(leave.known_p99_s.is_some_and(|time| time <= 1.0), "{leave:?}");
-        let roll = run(Case::Roll, nodes, loss, 3);
+        let roll = run(Case::Roll, nodes, loss, 3, SECOND);
         assert!(roll.whole_s.is_some(), "{roll:?}");
         assert_eq!([&kill, &leave, &roll].map(|found| found.false_words), [0; 3]);
     }
@@ -194,3 +194,27 @@
     assert_eq!(swarm.view(0).map(|view| view.nodes), before);
     assert!(swarm.run_until(10 * SECOND, Swarm::whole).is_some());
 }
+
+// Guards against a later version that an older one chokes on: what it adds behind an envelope is passed over, and what it
+// adds to an identity goes on to those that know it.
+#[test]
+fn what_a_later_version_adds_is_passed_over_or_carried() {
+    let mut swarm = met(3, 19);
+    let config = PeersConfig { seeds: vec![address(0)], ..config(4) };
+    let more = b"region=1".to_vec();
+    let later = Peer { address: address(3), order: 1, salt: 1, observer: false, name: "later".into(), more };
+    let (mut peers, mut out) = (Peers::new(config, later.clone(), 1, 0), Vec::new());
+    peers.timers(0, &mut out);
+    let asks = out.iter().filter_map(|output| match output {
+        Output::Send { data, .. } => Some([&data[..], b"and more"].concat()),
+        _ => None,
+    });
+    let asks: Vec<_> = asks.collect();
+    asks.iter().for_each(|data| swarm.inject(0, data));
+    let known = |swarm: &Swarm, node: usize| {
+        let view = swarm.view(node);
+        view.is_some_and(|view| view.peers.iter().any(|seen| seen.peer == later))
+    };
+    assert!(known(&swarm, 0));
+    assert!(swarm.run_until(2 * SECOND, |swarm| known(swarm, 1) && known(swarm, 2)).is_some());
+}
--- a/lab/tests/processes.rs
+++ b/lab/tests/processes.rs
@@ -3,7 +3,6 @@
 
 use serde_json::Value;
 use std::io::{BufRead, BufReader};
-use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
@@ -27,12 +26,6 @@
         std::fs::write(&path, text).unwrap();
         path
     }
-
-    fn script(&self, text: &str) -> PathBuf {
-        let path = self.write("program", &format!("#!/bin/sh\n{text}\n"));
-        std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o755)).unwrap();
-        path
-    }
 }
 
 impl Drop for Folder {
@@ -41,6 +34,12 @@
     }
 }
 
+/// A program of the tests. It lies there ready: one that a test has only just written may still be open for writing in a
+/// child of another test, and then it cannot be run.
+fn program(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/programs").join(name)
+}
+
 fn node() -> PathBuf {
     let path = Path::new(LAB).with_file_name("walkpick");
     assert!(path.exists(), "{} is missing: run 'cargo build' first", path.display());
@@ -184,12 +183,12 @@
     let nodes = wait_for("three nodes", || {
         let nodes = children(&child);
         // Each is the program by then, and no longer the hold.
-        (nodes.len() == 3 && nodes.iter().all(|pid| program(*pid).as_deref() == Some("walkpick")))
+        (nodes.len() == 3 && nodes.iter().all(|pid| runs(*pid).as_deref() == Some("walkpick")))
             .then_some(nodes)
     });
     child.kill().unwrap();
     child.wait().unwrap();
-    wait_for("end of the nodes", || nodes.iter().all(|pid| program(*pid).is_none()).then_some(()));
+    wait_for("end of the nodes", || nodes.iter().all(|pid| runs(*pid).is_none()).then_some(()));
 }
 
 #[test]
@@ -211,7 +210,7 @@
     let nodes = children(&child);
     assert!(Command::new("kill").arg("-INT").arg(child.id().to_string()).status().unwrap().success());
     assert_eq!(child.wait().unwrap().code(), Some(1));
-    assert!(nodes.iter().all(|pid| program(*pid).is_none()));
+    assert!(nodes.iter().all(|pid| runs(*pid).is_none()));
     let text = std::fs::read_to_string(folder.0.join("out.json")).unwrap();
     assert_eq!(serde_json::from_str::<Value>(&text).unwrap()["runs"][0]["interrupted"], true);
 }
@@ -219,7 +218,7 @@
 #[test]
 fn a_node_that_dies_at_once_is_told_with_its_last_words() {
     let folder = Folder::new("dies");
-    let program = folder.script("echo 'no such thing' >&2; exit 3");
+    let program = program("dies.sh");
     let output = lab(&folder, &small(1, ""), &program).output().unwrap();
     let error = String::from_utf8(output.stderr).unwrap();
     assert_eq!(output.status.code(), Some(1), "{error}");
@@ -234,7 +233,7 @@
 #[test]
 fn a_process_that_ignores_its_end_is_killed() {
     let folder = Folder::new("ignores");
-    let program = folder.script("trap '' TERM\necho ready\nwhile true; do sleep 1; done");
+    let program = program("ignores.sh");
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(async {
         let log = folder.0.join("log");
@@ -268,7 +267,7 @@
 }
 
 /// The name of a process's program; none where it is gone.
-fn program(pid: u32) -> Option<String> {
+fn runs(pid: u32) -> Option<String> {
     let file = std::fs::File::open(format!("/proc/{pid}/status")).ok()?;
     let lines: Vec<_> = BufReader::new(file).lines().map_while(Result::ok).collect();
     let value = |name: &str| lines.iter().find_map(|line| line.strip_prefix(name)).map(str::trim);
