--- a/lab/src/real/process.rs
+++ b/lab/src/real/process.rs
@@ -10,11 +10,15 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
+use std::sync::Mutex;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::process::{Child, Command};
 use tokio::time::timeout;
 
+/// Processes are started one at a time.
+static STARTS: Mutex<()> = Mutex::new(());
+
 /// What went wrong with a process.
 #[derive(Debug, Error)]
 pub enum ProcessError {
@@ -79,8 +83,15 @@
 }
 
 impl Process {
-    /// Starts a node with a configuration; its log goes to a file, after what an earlier life wrote there.
-    pub fn start(lab: &Path, program: &Path, config: &Path, log: &Path) -> Result<Self, ProcessError> {
+    /// Starts a node with a configuration; its log goes to a file, after what an earlier life wrote there. `let_go`: lets
+    /// go of what only the node may hold.
+    pub fn start(
+        lab: &Path,
+        program: &Path,
+        config: &Path,
+        log: &Path,
+        let_go: impl FnOnce(),
+    ) -> Result<Self, ProcessError> {
         let failed = |error| ProcessError::Start { program: program.to_owned(), error };
         let file = File::options().create(true).append(true).open(log).map_err(failed)?;
         let mut command = Command::new(lab);
@@ -90,7 +101,12 @@
         }
         command.env("LB_CONFIG", config).kill_on_drop(true).stdin(Stdio::null());
         command.stdout(file.try_clone().map_err(failed)?).stderr(file);
+        // A child of another run's, forked and not yet its own program, holds all that this process holds: none may be
+        // on its way when something is let go. Nothing panics under the lock.
+        let alone = STARTS.lock();
+        let_go();
         let child = command.spawn().map_err(failed)?;
+        drop(alone);
         let pid = child.id().and_then(|id| i32::try_from(id).ok()).map(Pid::from_raw);
         Ok(Self { child, pid, log: log.to_owned() })
     }
