Lab: one piece of code for what both drivers judged, dealt and timed by themselves

Two of them could have come apart without a sign.

The record judges (cold_fall, runs, sends, refuses), the plan has the front, the clients' return and the kill's time, discovery takes its own faults. Out::Silent and Out::Gone meant one thing and are one; a node no longer holds a copy of the programs' paths; a client's last try waits for no further one.

The node's code is not touched.

--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -7,8 +7,10 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::collections::BTreeMap;
-use walkpick::{Effect, Scope};
+use walkpick::{Class, Effect, Scope, ServerId};
 
+/// Rule on cold servers: it is broken where this part of the work came from nodes that knew of the start.
+const TOLD_PART: f64 = 2.0 / 3.0;
 /// Broken rules that are told one by one; the others are counted.
 const TOLD: usize = 20;
 
@@ -65,7 +67,7 @@
 
 /// Whether a request of a class may be sent on again, or refused (rule on duplicated effects). `first`: when the
 /// first of its attempts that may have run, or are still out, was sent.
-pub fn may_repeat(effect: Effect, first: Option<Micros>, now: Micros) -> bool {
+fn may_repeat(effect: Effect, first: Option<Micros>, now: Micros) -> bool {
     let Some(first) = first else { return true };
     match effect {
         Effect::Safe => true,
@@ -75,7 +77,7 @@
 }
 
 /// Whether a request of a class may be refused, where an attempt may have run or not.
-pub fn may_refuse(effect: Effect, may_have_run: bool) -> bool {
+fn may_refuse(effect: Effect, may_have_run: bool) -> bool {
     match effect {
         Effect::Safe => true,
         Effect::Unsafe => !may_have_run,
@@ -83,6 +85,28 @@
     }
 }
 
+/// What a node does about a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Deed<'a> {
+    /// When.
+    pub now: Micros,
+    /// The node.
+    pub node: usize,
+    /// The client's try.
+    pub ticket: usize,
+    /// Its class.
+    pub class: &'a Class,
+}
+
+/// Since when a node knows that a server is to get nothing new, and the time that it has to stop.
+#[derive(Clone, Copy, Debug)]
+pub struct Off {
+    /// When it was told.
+    pub told: Micros,
+    /// How long it has.
+    pub grace: Micros,
+}
+
 /// What a run is told while it goes on.
 #[derive(Debug, Default)]
 pub struct Record {
@@ -224,6 +248,51 @@
         }
     }
 
+    /// A cold server was sent more than it could bear, this part of it by nodes that knew of its start.
+    pub fn cold_fall(&mut self, now: Micros, server: &ServerId, told: f64) {
+        self.cold_falls += 1;
+        if told >= TOLD_PART {
+            self.breaks(now, "cold-server", || format!("{server} was pushed over while cold"));
+        }
+    }
+
+    /// A request runs, for the so many-th time.
+    pub fn runs(&mut self, now: Micros, ticket: usize, class: &Class, times: u32) {
+        if class.effect == Effect::Unsafe && times > 1 {
+            let name = class.name.as_str();
+            self.breaks(now, "resend", || format!("request {ticket} ({name}) ran twice"));
+        }
+    }
+
+    /// A node sends a request to a server. `off`: where it knows that the server drains or is gone. `first`: when the
+    /// first of the request's attempts that may have run, or are still out, was sent.
+    pub fn sends(&mut self, deed: Deed, server: &ServerId, off: Option<Off>, first: Option<Micros>) {
+        let Deed { now, node, ticket, class } = deed;
+        if let Some(off) = off.filter(|off| now > off.told + off.grace) {
+            let after = (now - off.told) / 1_000;
+            self.breaks(now, "drain", || {
+                format!("request {ticket} went to {server} {after} ms after n{node} was told that it drains or is gone")
+            });
+        }
+        if !may_repeat(class.effect, first, now) {
+            let name = class.name.as_str();
+            self.breaks(now, "resend", || {
+                format!("request {ticket} ({name}) was sent again by n{node} though it may have run")
+            });
+        }
+    }
+
+    /// A node refuses a request.
+    pub fn refuses(&mut self, deed: Deed, may_have_run: bool) {
+        let Deed { now, node, ticket, class } = deed;
+        if !may_refuse(class.effect, may_have_run) {
+            let name = class.name.as_str();
+            self.breaks(now, "refusal", || {
+                format!("request {ticket} ({name}) was refused by n{node} though it may have run")
+            });
+        }
+    }
+
     /// A node does something else from now on; all of them serve at first.
     pub fn does(&mut self, node: usize, doing: Doing, now: Micros) {
         let (was, since) = self.doing.insert(node, (doing, now)).unwrap_or((Doing::Serving, 0));
--- a/lab/src/model/discovery.rs
+++ b/lab/src/model/discovery.rs
@@ -3,6 +3,7 @@
 
 use super::{micros, Micros};
 use crate::draw::{self, Stream};
+use crate::experiment::{Trouble, What};
 use crate::plan::Plan;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -35,14 +36,15 @@
         Self { changes: Vec::new(), agents, late: 1.0, lost: None }
     }
 
-    /// Lists come so many times as late.
-    pub fn slow(&mut self, times: f64) {
-        self.late = times;
-    }
-
-    /// Of the changes from now on, this part comes to a node only then; `None`: all come.
-    pub fn lose(&mut self, lost: Option<(f64, Micros)>) {
-        self.lost = lost;
+    /// A fault of discovery's begins or ends.
+    pub fn fault(&mut self, plan: &Plan, fault: &Trouble, begins: bool) {
+        match fault.what {
+            What::DiscoveryLate => self.late = if begins { fault.size } else { 1.0 },
+            What::DiscoveryLoses => {
+                self.lost = begins.then_some((fault.size, plan.lead() + micros(fault.to)));
+            }
+            _ => {}
+        }
     }
 
     /// A change. Returns its number, and when each node's agent hears of it.
--- a/lab/src/model/fleet.rs
+++ b/lab/src/model/fleet.rs
@@ -39,7 +39,7 @@
     Fault {
         /// Its place.
         trouble: usize,
-        /// Whether it ends.
+        /// Whether it begins.
         begins: bool,
         /// How far it is.
         step: usize,
@@ -71,10 +71,8 @@
     },
     /// Discovery has a change to tell.
     Tells(Arc<[ServerEntry]>),
-    /// Servers say nothing from here on.
-    Silent,
-    /// A server has been taken away.
-    Gone,
+    /// Some server cannot be reached any more, as its machine says.
+    Reach,
     /// Servers are back as new processes: connections of before are gone.
     Back(Vec<usize>),
     /// A fault that meets nodes, links or discovery.
@@ -413,15 +411,15 @@
             }
         }
         if begins {
-            out.push(Out::Silent);
+            out.push(Out::Reach);
         } else if !met.is_empty() {
             out.push(Out::Back(met));
             out.push(Out::Tells(back.into()));
         }
     }
 
-    /// Drains one server, replaces it by a new one, and goes on to the next while the fault lasts. Each takes three
-    /// steps: draining, then gone, and a new one beside it.
+    /// Drains one server, replaces it by a new one, and goes on to the next while the fault lasts. Each takes two
+    /// steps: draining, then gone with a new one in its place.
     fn replace_next(&mut self, now: Micros, trouble: usize, step: usize, out: &mut Vec<Out>) {
         let fault = &self.plan.experiment.fault[trouble];
         let met = self.plan.met(trouble, self.plan.experiment.deployment.servers as usize, fault.part);
@@ -433,7 +431,7 @@
         (machine.availability, machine.entry.availability) = (state, state);
         let (zone, mut changed) = (machine.zone, vec![machine.entry.clone()]);
         if state == Availability::Gone {
-            out.push(Out::Gone);
+            out.push(Out::Reach);
             let new = self.add(zone, Some(now));
             changed.push(self.machines[new].entry.clone());
         }
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -3,7 +3,7 @@
 
 use crate::draw::{self, Stream};
 use crate::experiment::Experiment;
-use crate::model::clients::{self, Ask, Kind};
+use crate::model::clients::{self, Ask, End, Kind};
 use crate::model::origin::OriginParts;
 use crate::model::server::ServerParts;
 use crate::model::{micros, Micros, SECOND};
@@ -11,7 +11,7 @@
 use std::hash::{Hash, Hasher};
 use std::num::NonZeroUsize;
 use std::time::Duration;
-use walkpick::{Name, Settings};
+use walkpick::{Class, Name, Settings};
 
 /// After the last arrival a run goes on until all is answered.
 pub const TAIL: Micros = 12 * SECOND;
@@ -21,6 +21,11 @@
 pub const KEEPALIVE: Micros = 15 * SECOND;
 /// How often discovery tells of new weights.
 pub const WEIGHTS_EVERY: Micros = 1_100_000;
+/// A planned restart (protocol page): clients keep coming for so long after SIGTERM; the kill comes no sooner than the
+/// longest deadline, which counts as 3 s at the most, and 0.7 s.
+pub const COMING: Micros = 300_000;
+const LONGEST_DEADLINE: Micros = 3 * SECOND;
+const AFTER_DEADLINE: Micros = 700_000;
 const SLOTS_PER_CORE: f64 = 4.0;
 const ROOM_PER_CORE: f64 = 20.0;
 const CONNECTIONS_PER_CORE: f64 = 750.0;
@@ -171,10 +176,43 @@
         (mean_us * (0.85 + 0.4 * draw::unit(self.seed, Stream::Network, what))) as Micros
     }
 
-    /// Where the front sends a client's try: a place among those in use.
-    pub fn dealt(&self, ask: usize, number: u32, among: usize) -> usize {
+    /// The class of a request.
+    pub fn class(&self, ask: usize) -> &Class {
+        &self.kinds[self.asks[ask].kind].class
+    }
+
+    /// The place of a node's zone.
+    pub fn node_zone(&self, node: usize) -> usize {
+        node % self.zones.len()
+    }
+
+    /// The node that the front deals a client's try to: one of the client's zone, if any is in use there.
+    pub fn front(&self, ask: usize, number: u32, in_use: impl Fn(usize) -> bool) -> Option<usize> {
+        let in_use: Vec<_> =
+            (0..self.experiment.deployment.nodes as usize).filter(|&node| in_use(node)).collect();
+        let zone = self.asks[ask].zone;
+        let near: Vec<_> = in_use.iter().copied().filter(|&node| self.node_zone(node) == zone).collect();
+        let among = if near.is_empty() { in_use } else { near };
         let dealt = draw::unit(self.seed, Stream::Front, (ask as u64) << 8 | u64::from(number));
-        (dealt * among as f64) as usize
+        among.get((dealt * among.len() as f64) as usize).copied()
+    }
+
+    /// When a client sends a request again whose try of this number came to this end now, if it does. `stay`: how long it
+    /// was told to stay away.
+    pub fn again(&self, ask: usize, number: u32, end: End, stay: Micros, now: Micros) -> Option<Micros> {
+        let (asked, load, class) = (&self.asks[ask], &self.experiment.load, self.class(ask));
+        if number >= load.retries || !clients::repeats(class.effect, end, now.saturating_sub(asked.at)) {
+            return None;
+        }
+        let stay = if asked.heeds { stay } else { 0 };
+        let again = now + micros(load.backoff).max(stay).max(1);
+        (again < asked.at + micros(class.deadline)).then_some(again)
+    }
+
+    /// How long after SIGTERM a node is killed.
+    pub fn kill_after(&self) -> Micros {
+        let longest = self.kinds.iter().map(|kind| micros(kind.class.deadline)).max().unwrap_or(0);
+        longest.min(LONGEST_DEADLINE) + AFTER_DEADLINE
     }
 
     /// Whether a server errs in an attempt, where it errs in `part` of them.
--- a/lab/src/real/clients.rs
+++ b/lab/src/real/clients.rs
@@ -2,7 +2,7 @@
 
 use super::lab::Lab;
 use super::link;
-use crate::model::clients::{self, End};
+use crate::model::clients::End;
 use crate::model::{micros, Micros, SECOND};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Bytes;
@@ -40,19 +40,10 @@
 /// A client's request, with all its tries.
 pub async fn client(lab: Rc<Lab>, ask: usize) {
     lab.state.borrow_mut().under_way += 1;
-    let asked = &lab.plan.asks[ask];
-    let (load, class) = (&lab.plan.experiment.load, &lab.plan.kinds[asked.kind].class);
-    for number in 0..=load.retries {
+    for number in 0.. {
         let (end, stay) = try_once(&lab, ask, number).await;
         lab.end(ask, end);
-        if !clients::repeats(class.effect, end, lab.now().saturating_sub(asked.at)) {
-            break;
-        }
-        let stay = if asked.heeds { stay } else { 0 };
-        let again = lab.now() + micros(load.backoff).max(stay).max(1);
-        if again >= asked.at + micros(class.deadline) {
-            break;
-        }
+        let Some(again) = lab.plan.again(ask, number, end, stay, lab.now()) else { break };
         tokio::time::sleep_until(lab.moment(again)).await;
     }
     lab.state.borrow_mut().under_way -= 1;
@@ -115,13 +106,9 @@
 /// The node that the front deals this try to: one of the client's zone, if any is in use there.
 fn front(lab: &Lab, ask: usize, number: u32) -> Option<usize> {
     let notice = micros(lab.plan.experiment.deployment.front_notice);
-    let (now, zone, state) = (lab.now(), lab.plan.asks[ask].zone, lab.state.borrow());
-    let in_use: Vec<_> = (0..state.nodes.len())
-        .filter(|&i| state.nodes[i].died.map_or(state.nodes[i].ready, |died| now < died + notice))
-        .collect();
-    let near: Vec<_> = in_use.iter().copied().filter(|&i| state.nodes[i].zone == zone).collect();
-    let among = if near.is_empty() { in_use } else { near };
-    among.get(lab.plan.dealt(ask, number, among.len())).copied()
+    let (now, state) = (lab.now(), lab.state.borrow());
+    let in_use = |i: usize| state.nodes[i].died.map_or(state.nodes[i].ready, |died| now < died + notice);
+    lab.plan.front(ask, number, in_use)
 }
 
 async fn send(lab: Rc<Lab>, node: usize, ticket: usize, ask: usize, number: u32) -> Answer {
--- a/lab/src/real/faults.rs
+++ b/lab/src/real/faults.rs
@@ -5,6 +5,7 @@
 use crate::experiment::{Party, What};
 use crate::judge::Doing;
 use crate::model::{micros, Micros, SECOND};
+use crate::plan::COMING;
 use nix::sys::signal::Signal;
 use std::future::Future;
 use std::rc::Rc;
@@ -12,11 +13,6 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until};
 
-/// New connections keep coming to a node for so long after it was told to go.
-const COMING: Duration = Duration::from_millis(300);
-/// SIGKILL comes after SIGTERM no sooner than the longest deadline, which counts as 3 s at the most, and 0.7 s.
-const AFTER_DEADLINE: Duration = Duration::from_millis(700);
-const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
 /// Turns of a process that gets a share of its time.
 const TURN: Duration = Duration::from_millis(100);
 /// What a fault did to a node's connections may show this much later.
@@ -88,13 +84,8 @@
                 state.reset_links(&met);
             }
         }
-        What::DiscoveryLoses => {
-            let found = plan.lead() + micros(fault.to);
-            lab.state.borrow_mut().discovery.lose(begins.then_some((fault.size, found)));
-        }
-        What::DiscoveryLate => {
-            let times = if begins { fault.size } else { 1.0 };
-            lab.state.borrow_mut().discovery.slow(times);
+        What::DiscoveryLate | What::DiscoveryLoses => {
+            lab.state.borrow_mut().discovery.fault(&plan, fault, begins);
         }
         // The end of a fault that ends by itself, and those of the model.
         _ => {}
@@ -143,10 +134,9 @@
 async fn terminate(lab: Rc<Lab>, node: usize) {
     signal(&lab, node, Signal::SIGTERM);
     lab.state.borrow_mut().record.does(node, Doing::Leaving, lab.now());
-    let longest = lab.plan.kinds.iter().map(|kind| kind.class.deadline).max().unwrap_or_default();
     let told = tokio::time::Instant::now();
-    let kill_at = told + longest.min(LONGEST_DEADLINE) + AFTER_DEADLINE;
-    sleep(COMING).await;
+    let kill_at = told + Duration::from_micros(lab.plan.kill_after());
+    sleep(Duration::from_micros(COMING)).await;
     let process = {
         let state = &mut *lab.state.borrow_mut();
         let node = &mut state.nodes[node];
--- a/lab/src/real/lab.rs
+++ b/lab/src/real/lab.rs
@@ -2,9 +2,9 @@
 
 use super::link::{Conditions, Door, Far, Link, Reserved, ReservedDatagrams};
 use super::process::{Process, Used};
-use super::servers;
+use super::{servers, Options};
 use crate::experiment::Party;
-use crate::judge::{self, Record};
+use crate::judge::{Deed, Off, Record};
 use crate::model::clients::End;
 use crate::model::discovery::Discovery;
 use crate::model::fleet::{Come, Due, Fleet, Out};
@@ -27,13 +27,11 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, watch, Notify};
 use tokio::time::{sleep_until, Instant};
-use walkpick::{Availability, Effect, ServerEntry, Timestamp};
+use walkpick::{Availability, ServerEntry, Timestamp};
 
 /// Rule on drains: this long after a node was told, nothing new. On sockets each limit grows by 50 ms, and the lab
 /// hears of a send a little after its first byte.
 const DRAIN_GRACE: Micros = 350_000;
-/// Rule on cold servers: see the virtual driver.
-const TOLD_PART: f64 = 2.0 / 3.0;
 
 /// What the clock brings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -118,10 +116,6 @@
     pub clock_s: f64,
     /// Kept connections of clients.
     pub idle: Vec<SendRequest<Full<Bytes>>>,
-    /// Its program, and the lab's own that holds it.
-    pub program: PathBuf,
-    /// See `program`.
-    pub lab: PathBuf,
 }
 
 /// Where a node meets its peers.
@@ -162,6 +156,8 @@
 pub struct Lab {
     /// What is drawn ahead.
     pub plan: Rc<Plan>,
+    /// How it is carried out.
+    pub options: Options,
     /// All that changes.
     pub state: RefCell<State>,
     queue: RefCell<BinaryHeap<Reverse<(Micros, u64, Tick)>>>,
@@ -173,7 +169,7 @@
 
 impl Lab {
     /// A run that has not begun, without nodes.
-    pub fn new(plan: Rc<Plan>) -> io::Result<Rc<Self>> {
+    pub fn new(plan: Rc<Plan>, options: Options) -> io::Result<Rc<Self>> {
         let fleet = Fleet::new(plan.clone(), 0);
         let state = State {
             discovery: Discovery::new(plan.experiment.deployment.nodes as usize, &fleet.entries()),
@@ -190,6 +186,7 @@
         };
         Ok(Rc::new(Self {
             plan,
+            options,
             state: RefCell::new(state),
             queue: RefCell::default(),
             count: Cell::new(0),
@@ -280,16 +277,11 @@
                 Out::Runs(job) => self.state.borrow_mut().runs(&self.plan, self.now(), job),
                 Out::Falls { server, told } => {
                     let state = &mut *self.state.borrow_mut();
-                    state.record.cold_falls += 1;
-                    let name = &state.fleet.machines[server].id;
-                    if told >= TOLD_PART {
-                        let what = || format!("{name} was pushed over while cold");
-                        state.record.breaks(self.now(), "cold-server", what);
-                    }
+                    state.record.cold_fall(self.now(), &state.fleet.machines[server].id, told);
                     state.refresh_links();
                 }
                 Out::Tells(entries) => self.tells(entries),
-                Out::Silent | Out::Gone => self.state.borrow_mut().refresh_links(),
+                Out::Reach => self.state.borrow_mut().refresh_links(),
                 Out::Back(servers) => self.back(&servers),
                 Out::Other { trouble, begins, step } => super::faults::meet(self, trouble, begins, step),
             }
@@ -460,11 +452,7 @@
         let number = attempt.ticket;
         let ticket = &mut self.tickets[number];
         ticket.runs += 1;
-        let class = &plan.kinds[plan.asks[ticket.ask].kind].class;
-        if class.effect == Effect::Unsafe && ticket.runs > 1 {
-            let name = class.name.as_str();
-            self.record.breaks(now, "resend", || format!("request {number} ({name}) ran twice"));
-        }
+        self.record.runs(now, number, plan.class(ticket.ask), ticket.runs);
     }
 
     /// When the first attempt of a request came that may have run.
@@ -474,32 +462,18 @@
     }
 
     fn judge(&mut self, plan: &Plan, now: Micros, node: usize, server: usize, ticket: usize) {
-        let told = self.nodes[node].told.get(&server);
-        let off = told.filter(|told| told.0 != Availability::Ready).map(|told| told.2);
-        if let Some(off) = off.filter(|off| now > off + DRAIN_GRACE) {
-            let (after, name) = ((now - off) / 1_000, &self.fleet.machines[server].id);
-            self.record.breaks(now, "drain", || {
-                format!("request {ticket} went to {name} {after} ms after n{node} was told that it drains or is gone")
-            });
-        }
-        let class = &plan.kinds[plan.asks[self.tickets[ticket].ask].kind].class;
-        if !judge::may_repeat(class.effect, self.first_run(ticket), now) {
-            let name = class.name.as_str();
-            self.record.breaks(now, "resend", || {
-                format!("request {ticket} ({name}) was sent again by n{node} though it may have run")
-            });
-        }
+        let told = self.nodes[node].told.get(&server).filter(|told| told.0 != Availability::Ready);
+        let off = told.map(|told| Off { told: told.2, grace: DRAIN_GRACE });
+        let first = self.first_run(ticket);
+        let deed = Deed { now, node, ticket, class: plan.class(self.tickets[ticket].ask) };
+        self.record.sends(deed, &self.fleet.machines[server].id, off, first);
     }
 
     /// A client was refused: whether that was allowed.
     pub fn judge_refusal(&mut self, plan: &Plan, now: Micros, node: usize, ticket: usize) {
-        let class = &plan.kinds[plan.asks[self.tickets[ticket].ask].kind].class;
-        if !judge::may_refuse(class.effect, self.first_run(ticket).is_some()) {
-            let name = class.name.as_str();
-            self.record.breaks(now, "refusal", || {
-                format!("request {ticket} ({name}) was refused by n{node} though it may have run")
-            });
-        }
+        let may_have_run = self.first_run(ticket).is_some();
+        let deed = Deed { now, node, ticket, class: plan.class(self.tickets[ticket].ask) };
+        self.record.refuses(deed, may_have_run);
     }
 
     /// Resets what is open on the links that a fault meets.
--- a/lab/src/real/mod.rs
+++ b/lab/src/real/mod.rs
@@ -108,9 +108,9 @@
         runtime::Builder::new_current_thread().enable_all().build().map_err(machine("a runtime"))?;
     let plan = Rc::new(Plan::new(experiment, seed));
     LocalSet::new().block_on(&runtime, async {
-        let lab = Lab::new(plan.clone()).map_err(machine("the lab's state"))?;
+        let lab = Lab::new(plan.clone(), options.clone()).map_err(machine("the lab's state"))?;
         policies::fill(&plan, arm.policy, &mut lab.state.borrow_mut().fleet);
-        nodes::place(&lab, options).map_err(machine("links for the nodes"))?;
+        nodes::place(&lab).map_err(machine("links for the nodes"))?;
         if arm.peers {
             nodes::meet(&lab).await.map_err(machine("links between the nodes"))?;
         }
@@ -119,7 +119,7 @@
         let ended = end(&lab).await;
         ran?;
         lab.count_work();
-        Ok(judge(&lab, name, options, stop.load(Ordering::Relaxed), ended))
+        Ok(judge(&lab, name, stop.load(Ordering::Relaxed), ended))
     })
 }
 
@@ -239,7 +239,7 @@
     ended
 }
 
-fn judge(lab: &Lab, name: &str, options: &Options, interrupted: bool, ended: Vec<String>) -> Run {
+fn judge(lab: &Lab, name: &str, interrupted: bool, ended: Vec<String>) -> Run {
     let (late_p99, late_max) = lab.lateness();
     let state = &mut *lab.state.borrow_mut();
     for what in ended {
@@ -248,7 +248,7 @@
     let nodes = state.nodes.len().max(1) as f64;
     let cpu_s: f64 = state.nodes.iter().map(|node| node.used.cpu_s).sum();
     let memory = state.nodes.iter().map(|node| node.used.memory_mb).fold(0.0, f64::max);
-    let bound = options.lateness.as_secs_f64() * 1_000.0;
+    let bound = lab.options.lateness.as_secs_f64() * 1_000.0;
     let late = late_p99 > bound || late_max > 10.0 * bound;
     let void = state.void.clone().or_else(|| {
         late.then(|| format!("the lab was late: {late_p99:.1} ms at the 99th percentile, {late_max:.1} ms at the most, over its bound of {bound} ms and ten times that"))
--- a/lab/src/real/nodes.rs
+++ b/lab/src/real/nodes.rs
@@ -4,7 +4,6 @@
 use super::lab::{Lab, Meets, Node};
 use super::link::{mesh, own_address, Door, Far, Link, Reserved, ReservedDatagrams, WayOf};
 use super::process::{Process, ProcessError, Used};
-use super::Options;
 use crate::draw::{self, Stream};
 use crate::model::links::Way;
 use serde_json::{json, Value};
@@ -20,16 +19,16 @@
 const SOCKETS: u32 = 1_024;
 
 /// Puts the nodes in place, each with links of its own; none is started.
-pub fn place(lab: &Rc<Lab>, options: &Options) -> io::Result<()> {
+pub fn place(lab: &Rc<Lab>) -> io::Result<()> {
     let count = lab.plan.experiment.deployment.nodes as usize;
     for i in 0..count {
         let (clients, discovery) = (link(lab, i, 1), link(lab, i, 2));
         let node = Node {
             name: format!("n{i}"),
-            zone: i % lab.plan.zones.len(),
+            zone: lab.plan.node_zone(i),
             address: Reserved::tcp()?,
-            config: options.folder.join(format!("n{i}.json")),
-            log: options.folder.join(format!("n{i}.log")),
+            config: lab.options.folder.join(format!("n{i}.json")),
+            log: lab.options.folder.join(format!("n{i}.log")),
             process: None,
             life: 0,
             used: Used::default(),
@@ -46,8 +45,6 @@
             told: HashMap::new(),
             clock_s: 0.0,
             idle: Vec::new(),
-            program: options.program.clone(),
-            lab: options.lab.clone(),
         };
         lab.state.borrow_mut().nodes.push(node);
     }
@@ -96,7 +93,8 @@
     let node = &mut state.nodes[node];
     node.life += 1;
     let let_go = || node.meets.iter().for_each(|meets| meets.address.let_go());
-    node.process = Some(Process::start(&node.lab, &node.program, &node.config, &node.log, let_go)?);
+    node.process =
+        Some(Process::start(&lab.options.lab, &lab.options.program, &node.config, &node.log, let_go)?);
     Ok(())
 }
 
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -2,14 +2,14 @@
 //! thread. The same experiment, arm and seed give the same run.
 
 use crate::experiment::{Arm, Experiment, Party, What};
-use crate::judge::{self, Doing, Record, Result};
-use crate::model::clients::{self, End};
+use crate::judge::{Deed, Doing, Off, Record, Result};
+use crate::model::clients::End;
 use crate::model::discovery::Discovery;
 use crate::model::fleet::{Come, Due, Fleet, Out};
 use crate::model::links::{Links, Met, Way};
 use crate::model::server::Said;
 use crate::model::{micros, Micros, SECOND};
-use crate::plan::{Plan, CONNECT_TIMEOUT, KEEPALIVE};
+use crate::plan::{Plan, COMING, CONNECT_TIMEOUT, KEEPALIVE};
 use crate::policies::{self, Decisions};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use walkpick::{
-    Action, Availability, ClassId, Effect, Event as NodeEvent, LoadReport, Note, Outcome, Request, RequestId,
+    Action, Availability, ClassId, Event as NodeEvent, LoadReport, Note, Outcome, Request, RequestId,
     ServerEntry, ServerId, ServerList, Settings, Status, Timestamp,
 };
 
@@ -33,16 +33,10 @@
 const GUARD: Micros = 4_000;
 /// What discovery cannot tell for now it tries again to tell after so long.
 const TOLD_AGAIN: Micros = 50_000;
-/// A planned restart (protocol page): clients keep coming for so long, the kill comes after the longest deadline, which
-/// counts as 3 s at the most, and 0.7 s; a new process takes its time.
-const COMING: Micros = 300_000;
-const LONGEST_DEADLINE: Micros = 3 * SECOND;
-const AFTER_DEADLINE: Micros = 700_000;
+/// A new process takes its time.
 const RESTART: Micros = 100_000;
 /// Rule on drains: this long after a node was told, nothing new.
 const DRAIN_GRACE: Micros = 250_000;
-/// Rule on cold servers: it is broken where this part of the work came from nodes that knew of the start.
-const TOLD_PART: f64 = 2.0 / 3.0;
 
 type Ticket = usize;
 type SendId = usize;
@@ -191,7 +185,7 @@
         policies::fill(&self.plan, self.arm.policy, &mut self.fleet);
         for i in 0..nodes {
             let (off, idle) = Default::default();
-            let zone = i % self.plan.zones.len();
+            let zone = self.plan.node_zone(i);
             let (died, leaving, held, troubled, clock_s) = Default::default();
             let (decisions, life) = (None, 0);
             self.nodes.push(Node {
@@ -315,16 +309,13 @@
         self.tries[ask] += 1;
         self.record.tries += 1;
         let notice = micros(self.plan.experiment.deployment.front_notice);
-        let in_use = |node: &Node| !node.leaving && node.died.is_none_or(|died| self.now < died + notice);
-        let zone = self.plan.asks[ask].zone;
-        let mut among: Vec<_> =
-            (0..self.nodes.len()).filter(|&i| in_use(&self.nodes[i]) && self.nodes[i].zone == zone).collect();
-        if among.is_empty() {
-            among = (0..self.nodes.len()).filter(|&i| in_use(&self.nodes[i])).collect();
-        }
+        let in_use = |i: usize| {
+            let node = &self.nodes[i];
+            !node.leaving && node.died.is_none_or(|died| self.now < died + notice)
+        };
+        let node = self.plan.front(ask, number, in_use);
         let until = self.now + self.plan.asks[ask].patience;
         let ticket = self.tickets.len();
-        let node = among.get(self.plan.dealt(ask, number, among.len())).copied();
         let life = node.map_or(0, |node| self.nodes[node].life);
         let (answered, abandoned, seen, sends, runs) = Default::default();
         self.tickets.push(Try {
@@ -356,15 +347,8 @@
         }
         let ask = held.ask;
         self.record.end(ask, end, self.now);
-        let (asked, load) = (&self.plan.asks[ask], &self.plan.experiment.load);
-        let class = &self.plan.kinds[asked.kind].class;
-        let again = clients::repeats(class.effect, end, self.now - asked.at);
-        if !again || self.tries[ask] > load.retries {
-            return;
-        }
-        let stay = if asked.heeds { stay } else { 0 };
-        let again = self.now + micros(load.backoff).max(stay).max(1);
-        if again < asked.at + micros(class.deadline) {
+        let number = self.tries[ask] - 1;
+        if let Some(again) = self.plan.again(ask, number, end, stay, self.now) {
             self.at(again, Next::Try { ask });
         }
     }
@@ -482,13 +466,9 @@
     }
 
     fn refuse(&mut self, node: usize, ticket: Ticket, stay: Duration) {
-        let class = &self.plan.kinds[self.plan.asks[self.tickets[ticket].ask].kind].class;
-        if !judge::may_refuse(class.effect, self.first_run(ticket).is_some()) {
-            let name = class.name.as_str();
-            self.record.breaks(self.now, "refusal", || {
-                format!("request {ticket} ({name}) was refused by n{node} though it may have run")
-            });
-        }
+        let may_have_run = self.first_run(ticket).is_some();
+        let class = self.plan.class(self.tickets[ticket].ask);
+        self.record.refuses(Deed { now: self.now, node, ticket, class }, may_have_run);
         self.answer(ticket, End::Refused, micros(stay));
     }
 
@@ -516,9 +496,8 @@
 
     fn send(&mut self, node: usize, ticket: Ticket, server: &ServerId, timeout: Duration) {
         let Some(server) = self.fleet.place(server) else { return };
-        let ask = &self.plan.asks[self.tickets[ticket].ask];
-        let (work_us, kind) = (ask.work_us, ask.kind);
-        self.judge_send(node, ticket, server, kind);
+        let work_us = self.plan.asks[self.tickets[ticket].ask].work_us;
+        self.judge_send(node, ticket, server);
         let idle = self.nodes[node].idle.entry(server).or_default();
         let kept = idle.pop().filter(|since| self.now < since + KEEPALIVE);
         let machine = &mut self.fleet.machines[server];
@@ -568,22 +547,12 @@
     }
 
     /// The rules on drains and on sending again, as the lab sees them.
-    fn judge_send(&mut self, node: usize, ticket: Ticket, server: usize, kind: usize) {
-        let told = self.nodes[node].off.get(&server).copied();
-        if let Some(told) = told.filter(|told| self.now > told + DRAIN_GRACE) {
-            let after = (self.now - told) / 1_000;
-            let name = &self.fleet.machines[server].id;
-            self.record.breaks(self.now, "drain", || {
-                format!("request {ticket} went to {name} {after} ms after n{node} was told that it drains or is gone")
-            });
-        }
-        let class = &self.plan.kinds[kind].class;
-        if !judge::may_repeat(class.effect, self.first_run(ticket), self.now) {
-            let name = class.name.as_str();
-            self.record.breaks(self.now, "resend", || {
-                format!("request {ticket} ({name}) was sent again by n{node} though it may have run")
-            });
-        }
+    fn judge_send(&mut self, node: usize, ticket: Ticket, server: usize) {
+        let off = self.nodes[node].off.get(&server).map(|&told| Off { told, grace: DRAIN_GRACE });
+        let first = self.first_run(ticket);
+        let class = self.plan.class(self.tickets[ticket].ask);
+        let deed = Deed { now: self.now, node, ticket, class };
+        self.record.sends(deed, &self.fleet.machines[server].id, off, first);
     }
 
     /// An attempt has ended for its node, if it was still out.
@@ -667,16 +636,11 @@
                 }
                 Out::Runs(job) => self.runs(job as usize),
                 Out::Falls { server, told } => {
-                    self.record.cold_falls += 1;
-                    let name = &self.fleet.machines[server].id;
-                    if told >= TOLD_PART {
-                        let what = || format!("{name} was pushed over while cold");
-                        self.record.breaks(self.now, "cold-server", what);
-                    }
+                    self.record.cold_fall(self.now, &self.fleet.machines[server].id, told);
                 }
                 Out::Tells(entries) => self.publish(entries),
                 // What is sent to them sees it.
-                Out::Silent | Out::Gone => {}
+                Out::Reach => {}
                 Out::Back(servers) => {
                     for node in &mut self.nodes {
                         servers.iter().for_each(|server| drop(node.idle.remove(server)));
@@ -691,11 +655,8 @@
         self.sends[send].may_have_run = true;
         let ticket = self.sends[send].ticket;
         self.tickets[ticket].runs += 1;
-        let kind = &self.plan.kinds[self.plan.asks[self.tickets[ticket].ask].kind];
-        if kind.class.effect == Effect::Unsafe && self.tickets[ticket].runs > 1 {
-            let name = kind.class.name.as_str();
-            self.record.breaks(self.now, "resend", || format!("request {ticket} ({name}) ran twice"));
-        }
+        let held = &self.tickets[ticket];
+        self.record.runs(self.now, ticket, self.plan.class(held.ask), held.runs);
     }
 
     fn answered(&mut self, send: SendId, said: Said) {
@@ -792,11 +753,7 @@
                     self.reset(&met);
                 }
             }
-            What::DiscoveryLoses => {
-                let found = plan.lead() + micros(fault.to);
-                self.discovery.lose(begins.then_some((fault.size, found)));
-            }
-            What::DiscoveryLate => self.discovery.slow(if begins { fault.size } else { 1.0 }),
+            What::DiscoveryLate | What::DiscoveryLoses => self.discovery.fault(&plan, fault, begins),
             // The servers' and the origin's, and what the virtual driver has no part for.
             _ => {}
         }
@@ -805,8 +762,7 @@
     /// Tells a node to go, as at a planned restart. Returns when it is gone.
     fn terminate(&mut self, node: usize) -> Micros {
         let life = self.nodes[node].life;
-        let longest = self.plan.kinds.iter().map(|kind| micros(kind.class.deadline)).max().unwrap_or(0);
-        let stops = self.now + longest.min(LONGEST_DEADLINE) + AFTER_DEADLINE;
+        let stops = self.now + self.plan.kill_after();
         self.at(self.now + COMING, Next::Leaves { node, life });
         self.at(stops, Next::Stops { node, life });
         stops
