Read a request to its end that has half come when its connection is told to close

Cause: on a kept connection hyper counts one whose next head has half come as idle, and graceful_shutdown drops it with what it had read (server.rs, connection). The request's last byte is then written to a connection that the node ends without an answer; at a stop, and when a full table makes room. Change: a connection knows whether it rests, reads or answers; told to close while a request comes, it reads that to its end and answers it with Connection: close. One that is being read gives no way to others.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -15,12 +15,14 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::hash::{DefaultHasher, Hasher};
-use std::pin::pin;
+use std::io;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::str::FromStr;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
@@ -115,7 +117,18 @@
     }
 }
 
-/// A connection's place among the idle ones: it has one while no request is in it.
+/// What goes on in a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Doing {
+    /// Nothing: it may be closed, and what its client is sending just then is sent anew elsewhere.
+    Resting,
+    /// A request has begun to come and is not whole.
+    Reading,
+    /// A whole request is in it, which is owed an answer.
+    Answering,
+}
+
+/// A connection's place among the idle ones: it has one while nothing goes on in it.
 struct Place {
     front: Rc<Front>,
     close: Rc<Notify>,
@@ -123,17 +136,22 @@
     opened: Instant,
     /// Heads of requests that came on it.
     heads: Cell<u64>,
+    doing: Cell<Doing>,
+    /// It was told to close: the next answer is its last.
+    closing: Cell<bool>,
 }
 
 impl Place {
     fn new(front: Rc<Front>) -> Self {
-        let (close, number, heads) = Default::default();
-        let place = Self { front, close, number, opened: Instant::now(), heads };
+        let (close, number, heads, closing) = Default::default();
+        let (opened, doing) = (Instant::now(), Cell::new(Doing::Resting));
+        let place = Self { front, close, number, opened, heads, doing, closing };
         place.enter();
         place
     }
 
     fn enter(&self) {
+        self.doing.set(Doing::Resting);
         let idle = &self.front.idle;
         if idle.wanted.take() {
             return self.close.notify_one();
@@ -150,8 +168,17 @@
         }
     }
 
+    /// Bytes have come.
+    fn read(&self) {
+        if self.doing.get() == Doing::Resting {
+            self.doing.set(Doing::Reading);
+            self.leave();
+        }
+    }
+
     /// Until when the request whose head has just come must be whole.
     fn head(&self) -> Instant {
+        self.read();
         let heads = self.heads.replace(self.heads.get() + 1);
         let from = if heads == 0 { self.opened } else { Instant::now() };
         from + WHOLE_REQUEST
@@ -224,47 +251,100 @@
     listener: &TcpListener,
     slots: &Arc<Semaphore>,
     idle: &Idle,
-) -> std::io::Result<(TcpStream, OwnedSemaphorePermit)> {
+) -> io::Result<(TcpStream, OwnedSemaphorePermit)> {
     if slots.available_permits() == 0 {
         // Clients keep the connections they have: left idle, they would keep all others out of a full table,
         // and the machine takes requests on connections that the node has not accepted yet.
         idle.make_room();
     }
-    let slot = slots.clone().acquire_owned().await.map_err(std::io::Error::other)?;
+    let slot = slots.clone().acquire_owned().await.map_err(io::Error::other)?;
     let (stream, _) = listener.accept().await?;
     stream.set_nodelay(true)?;
     Ok((stream, slot))
 }
 
+/// A client's stream that tells the connection's place of what comes.
+struct Heard<S> {
+    stream: S,
+    place: Rc<Place>,
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Heard<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let held = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > held {
+            self.place.read();
+        }
+        read
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Heard<S> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+}
+
 async fn connection(stream: impl AsyncRead + AsyncWrite + Unpin + 'static, front: Rc<Front>) {
     let (mut stage, mut end) = (front.stage.clone(), front.stage.clone());
-    let place = Place::new(front.clone());
+    let place = Rc::new(Place::new(front.clone()));
     let service = service_fn(async |request| {
-        place.leave();
-        let response = respond(&front, request, place.head()).await;
+        let whole_by = place.head();
+        let response = respond(&front, request, &place, whole_by).await;
         place.enter();
         Ok::<_, Infallible>(response)
     });
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
-    let mut serving = pin!(http.serve_connection(TokioIo::new(stream), service));
+    let heard = Heard { stream, place: place.clone() };
+    let mut serving = pin!(http.serve_connection(TokioIo::new(heard), service));
     let mut silence = pin!(place.silence());
-    let mut gone = pin!(end.wait_for(|stage| *stage == Stage::Gone));
     // An error here is a client that left or spoke no HTTP: hyper has answered what can be answered.
     tokio::select! {
         biased;
         _ = &mut serving => return,
         () = &mut silence => return,
-        _ = stage.wait_for(|stage| *stage >= Stage::Closing) => serving.as_mut().graceful_shutdown(),
-        () = place.close.notified() => serving.as_mut().graceful_shutdown(),
+        _ = stage.wait_for(|stage| *stage >= Stage::Closing) => {}
+        () = place.close.notified() => {}
+    }
+    // Of a request that has begun to come hyper would drop what it holds: it is read to its end, and its answer
+    // sends the client away.
+    place.closing.set(true);
+    if place.doing.get() != Doing::Reading {
+        serving.as_mut().graceful_shutdown();
     }
-    // A first request that is half read has no end of its own: it gets the time that it had, and no more than
-    // the node has. What it brings later is never taken.
+    // One that never comes whole has no end of its own: it gets the time that it had, and no more than the node
+    // has. What it brings later is never taken.
     tokio::select! {
         biased;
         _ = &mut serving => {}
         () = &mut silence => {}
-        _ = &mut gone => {}
+        _ = end.wait_for(|stage| *stage == Stage::Gone) => {}
     }
 }
 
@@ -283,10 +363,10 @@
     }
 }
 
-async fn respond(front: &Front, request: Request<Incoming>, whole_by: Instant) -> Reply {
-    let mut response = answer(front, request, whole_by).await.unwrap_or_else(|rejected| rejected);
+async fn respond(front: &Front, request: Request<Incoming>, place: &Place, whole_by: Instant) -> Reply {
+    let mut response = answer(front, request, place, whole_by).await.unwrap_or_else(|rejected| rejected);
     front.answered.set(Some(Instant::now()));
-    if *front.stage.borrow() >= Stage::Closing {
+    if place.closing.get() || *front.stage.borrow() >= Stage::Closing {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -294,7 +374,12 @@
 
 type Reply = Response<Full<Bytes>>;
 
-async fn answer(front: &Front, request: Request<Incoming>, whole_by: Instant) -> Result<Reply, Reply> {
+async fn answer(
+    front: &Front,
+    request: Request<Incoming>,
+    place: &Place,
+    whole_by: Instant,
+) -> Result<Reply, Reply> {
     let at = Instant::now();
     let (head, body) = request.into_parts();
     let target =
@@ -326,6 +411,7 @@
         Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
         Ok(Err(_)) => return Err(plain(StatusCode::BAD_REQUEST, "the body broke off")),
     };
+    place.doing.set(Doing::Answering);
     Ok(hand_over(front, at, key, target, head.method, asked, body).await)
 }
 
@@ -450,11 +536,85 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt};
+    use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt, DuplexStream};
     use tokio::task::{spawn_local, LocalSet};
+    use walkpick::Class;
 
     const HALF: &[u8] = b"GET /api/1 HTTP/1.1\r\nReq-Id: 1\r\n";
 
+    /// A front whose requests are handed to the sender of `taken`, and the way to its stages.
+    fn rig(taken: &Rc<RefCell<Vec<Taken>>>) -> (watch::Sender<Stage>, Rc<Front>) {
+        let (stages, stage) = watch::channel(Stage::Serving);
+        let settings = Settings {
+            classes: vec![Class { name: "read".into(), ..Class::default() }],
+            ..Settings::default()
+        };
+        let taken = taken.clone();
+        let tell = move |word| match word {
+            Word::Taken(request) => taken.borrow_mut().push(*request),
+            Word::Left(_) => {}
+        };
+        (stages, Rc::new(Front::new(&settings, Rc::default(), stage, Rc::new(tell))))
+    }
+
+    const WHOLE: &str = "GET /api/1 HTTP/1.1\r\nReq-Id: 1\r\nReq-Kind: read\r\nReq-Deadline-Ms: 900\r\n\r\n";
+
+    async fn settle() {
+        for _ in 0..20 {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    fn serve_last(taken: &Rc<RefCell<Vec<Taken>>>) {
+        let request = taken.borrow_mut().pop().expect("a request that was taken");
+        request.answer.send(Answer::Served(Bytes::from_static(b"value"))).unwrap();
+    }
+
+    async fn heard(client: &mut DuplexStream) -> String {
+        settle().await;
+        let mut text = vec![0; 4096];
+        let read = timeout_at(Instant::now() + Duration::from_millis(1), client.read(&mut text)).await;
+        String::from_utf8(text[..read.map_or(0, |read| read.unwrap())].to_vec()).unwrap()
+    }
+
+    // Guards against a request that is lost since the node closes a connection whose request has half come: on a
+    // kept connection hyper takes it for an idle one.
+    #[tokio::test(start_paused = true)]
+    async fn a_request_that_is_half_read_when_its_connection_closes_is_answered() {
+        for by_stage in [true, false] {
+            for cut in [1, 20, WHOLE.len() - 1] {
+                LocalSet::new().run_until(close_at_half(by_stage, cut)).await;
+            }
+        }
+    }
+
+    async fn close_at_half(by_stage: bool, cut: usize) {
+        let taken = Rc::default();
+        let (stages, front) = rig(&taken);
+        let (mut client, stream) = duplex(4096);
+        let serving = spawn_local(connection(stream, front.clone()));
+        client.write_all(WHOLE.as_bytes()).await.unwrap();
+        settle().await;
+        serve_last(&taken);
+        assert!(heard(&mut client).await.ends_with("value"));
+        client.write_all(&WHOLE.as_bytes()[..cut]).await.unwrap();
+        settle().await;
+        if by_stage {
+            stages.send_replace(Stage::Closing);
+        } else {
+            // Nothing rests: whatever does next gives way, and that is this connection once it is answered.
+            front.idle.make_room();
+        }
+        settle().await;
+        client.write_all(&WHOLE.as_bytes()[cut..]).await.unwrap();
+        settle().await;
+        serve_last(&taken);
+        let text = heard(&mut client).await;
+        assert!(text.starts_with("HTTP/1.1 200") && text.ends_with("value"), "cut at {cut}: {text:?}");
+        assert_eq!(client.read(&mut [0; 1]).await.unwrap(), 0, "closed behind its answer");
+        serving.await.unwrap();
+    }
+
     // Guards against a connection whose half-read request keeps it, and the node, past its end: what completes it
     // there would be taken and never answered.
     #[tokio::test(start_paused = true)]
