A taken request is answered even where the node is later than its stop was planned for

Cause: answers are due 50 ms before the end (lifecycle.rs, ANSWERED_BEFORE). A node that gets no processor time for longer wakes with both times past, and server.rs let Stage::Gone end connections before the driver had said its answers. Shown by a test that says Gone before the answer; without the mend the connection ends with no word. Change: Gone ends connections that rest or read; one that owes an answer ends behind it. main waits for those until the kill at the most.

--- a/src/main.rs
+++ b/src/main.rs
@@ -141,12 +141,14 @@
     stages.send_replace(Stage::Leaving);
     sleep_until(stop.close_at).await;
     stages.send_replace(Stage::Closing);
-    let ended = timeout_at(stop.gone_by, &mut serving).await;
-    stages.send_replace(Stage::Gone);
-    if let Ok(ended) = ended {
+    if let Ok(ended) = timeout_at(stop.gone_by, &mut serving).await {
         ended?;
     } else {
-        serving.await?;
+        // Whoever is owed an answer still gets it, unless the client does not read what it is sent.
+        stages.send_replace(Stage::Gone);
+        if let Ok(ended) = timeout_at(stop.kill, serving).await {
+            ended?;
+        }
     }
     let last = front.answered.get().filter(|last| *last >= told);
     let spare_ms = last.map(|last| (stop.kill - last).as_millis() as u64);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -342,10 +342,14 @@
     // has. What it brings later is never taken.
     tokio::select! {
         biased;
-        _ = &mut serving => {}
-        () = &mut silence => {}
+        _ = &mut serving => return,
+        () = &mut silence => return,
         _ = end.wait_for(|stage| *stage == Stage::Gone) => {}
     }
+    // Whoever is owed an answer gets it: late is better than never, for a node as late as that.
+    if place.doing.get() == Doing::Answering {
+        let _ = serving.await;
+    }
 }
 
 /// Tells the driver of a client that left: hyper drops the answer's future with its connection.
@@ -615,6 +619,30 @@
         serving.await.unwrap();
     }
 
+    // Guards against a node that is later than it planned for and closes connections whose answers are about to come.
+    #[tokio::test(start_paused = true)]
+    async fn a_request_that_was_taken_is_answered_even_past_the_end() {
+        LocalSet::new()
+            .run_until(async {
+                let taken = Rc::default();
+                let (stages, front) = rig(&taken);
+                let (mut client, stream) = duplex(4096);
+                let serving = spawn_local(connection(stream, front));
+                client.write_all(WHOLE.as_bytes()).await.unwrap();
+                settle().await;
+                stages.send_replace(Stage::Closing);
+                settle().await;
+                stages.send_replace(Stage::Gone);
+                settle().await;
+                serve_last(&taken);
+                let text = heard(&mut client).await;
+                assert!(text.starts_with("HTTP/1.1 200") && text.ends_with("value"), "{text:?}");
+                assert!(text.contains("connection: close"), "{text:?}");
+                serving.await.unwrap();
+            })
+            .await;
+    }
+
     // Guards against a connection whose half-read request keeps it, and the node, past its end: what completes it
     // there would be taken and never answered.
     #[tokio::test(start_paused = true)]
