Take the time that a request lay unread off its client's patience

Cause: server.rs, answer(): the client's time began when the node came to read the request. A node behind by more than half a second answers each too late, and works on for clients that have gone. Ruled out: the connection (kept, its second request), the stop (the node was not told to), a hung server as such. Change: the look at the clock every 50 ms says how far the node is behind; that much is taken off. A node that is not behind loses at most the timer's millisecond. Test: a request read 300 ms late; without the mend it counts as new.

--- a/src/main.rs
+++ b/src/main.rs
@@ -105,7 +105,7 @@
     // The driver only goes when the node does: nothing is lost by what it is told after that.
     let (sender, news) = (events.clone(), events.clone());
     let tell = Rc::new(move |word| drop(sender.send(Input::Client(word))));
-    let front = Rc::new(Front::new(&settings, Rc::clone(&ready), stage, tell));
+    let front = Rc::new(Front::new(&settings, Rc::clone(&ready), pulse.clone(), stage, tell));
     let seq = (!known.hosts.is_empty()).then_some(known.seq);
     let random = fastrand::Rng::with_seed(seed);
     let tell = move |told| news.send(Input::Discovery(told)).is_ok();
--- a/src/net/lifecycle.rs
+++ b/src/net/lifecycle.rs
@@ -69,13 +69,16 @@
     last: Cell<Instant>,
     before: Cell<Instant>,
     late: Cell<Duration>,
+    /// How late the last look was.
+    last_late: Cell<Duration>,
 }
 
 impl Pulse {
     /// One that looks now for the first time.
     pub fn start() -> Self {
         let now = Instant::now();
-        Self { last: Cell::new(now), before: Cell::new(now), late: Cell::default() }
+        let (late, last_late) = Default::default();
+        Self { last: Cell::new(now), before: Cell::new(now), late, last_late }
     }
 
     /// Looks at the clock for as long as the node runs.
@@ -90,7 +93,9 @@
     fn look(&self, due: Instant, now: Instant) {
         let since = now.saturating_duration_since(self.last.get());
         let faded = self.late.get().mul_f64((-since.as_secs_f64() / LATENESS_HALF.as_secs_f64()).exp2());
-        self.late.set(faded.max(now.saturating_duration_since(due)));
+        let late = now.saturating_duration_since(due);
+        self.last_late.set(late);
+        self.late.set(faded.max(late));
         self.before.set(self.last.replace(now));
     }
 
@@ -99,6 +104,12 @@
         self.before.get()
     }
 
+    /// How far the node is behind at this moment: what it reads now may have lain there for so long, and only its
+    /// client knows it.
+    pub fn lag(&self, now: Instant) -> Duration {
+        self.last_late.get().max(now.saturating_duration_since(self.last.get() + BEAT))
+    }
+
     /// How late the node was of late in doing what was due, at the most.
     pub fn lateness(&self) -> Duration {
         self.late.get()
@@ -149,6 +160,8 @@
         }
         assert_eq!(pulse.before_signal(), start + ms(100));
         assert_eq!(pulse.lateness(), ms(750));
+        assert_eq!(pulse.lag(start + ms(901)), ms(750), "as late as it has just been");
+        assert_eq!(pulse.lag(start + ms(1_900)), ms(950), "a look that is not made yet is late all the same");
         pulse.look(start + ms(5_900), start + ms(5_900));
         assert_eq!(pulse.lateness(), ms(375));
     }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,6 +1,6 @@
 //! The clients' side: reads requests, hands them to the driver, writes the answers, sees clients leave.
 
-use crate::net::lifecycle::Stage;
+use crate::net::lifecycle::{Pulse, Stage};
 use crate::net::upstream::{Message, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -46,6 +46,7 @@
 pub struct Taken {
     /// A number that is never used twice: a client's own id might come again.
     pub ticket: u64,
+    /// When it came: no later than this node could have read it.
     pub at: Instant,
     /// How long the client waits.
     pub patience: Duration,
@@ -90,6 +91,7 @@
     pub classes: Vec<(Name, Duration)>,
     pub tenants: Vec<Name>,
     pub ready: Rc<Cell<bool>>,
+    pub pulse: Rc<Pulse>,
     pub stage: watch::Receiver<Stage>,
     pub tell: Tell,
     pub tickets: Cell<u64>,
@@ -199,6 +201,7 @@
     pub fn new(
         settings: &Settings,
         ready: Rc<Cell<bool>>,
+        pulse: Rc<Pulse>,
         stage: watch::Receiver<Stage>,
         tell: Tell,
     ) -> Self {
@@ -206,6 +209,7 @@
             classes: settings.classes.iter().map(|class| (class.name.clone(), class.aim)).collect(),
             tenants: settings.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
             ready,
+            pulse,
             stage,
             tell,
             tickets: Cell::new(0),
@@ -384,7 +388,9 @@
     place: &Place,
     whole_by: Instant,
 ) -> Result<Reply, Reply> {
-    let at = Instant::now();
+    let now = Instant::now();
+    // A client's time runs from when it sent: a node that is behind has kept the request waiting unread.
+    let at = now.checked_sub(front.pulse.lag(now)).unwrap_or(now);
     let (head, body) = request.into_parts();
     let target =
         head.uri.path_and_query().cloned().ok_or_else(|| plain(StatusCode::BAD_REQUEST, "no path"))?;
@@ -558,7 +564,7 @@
             Word::Taken(request) => taken.borrow_mut().push(*request),
             Word::Left(_) => {}
         };
-        (stages, Rc::new(Front::new(&settings, Rc::default(), stage, Rc::new(tell))))
+        (stages, Rc::new(Front::new(&settings, Rc::default(), Rc::new(Pulse::start()), stage, Rc::new(tell))))
     }
 
     const WHOLE: &str = "GET /api/1 HTTP/1.1\r\nReq-Id: 1\r\nReq-Kind: read\r\nReq-Deadline-Ms: 900\r\n\r\n";
@@ -643,13 +649,41 @@
             .await;
     }
 
+    // Guards against a node that gets little processor time and gives each request its client's whole patience from
+    // when it came to read it: the answer comes when the client has long gone.
+    #[tokio::test(start_paused = true)]
+    async fn time_that_a_request_lay_unread_is_taken_off_its_clients_patience() {
+        LocalSet::new()
+            .run_until(async {
+                let taken = Rc::default();
+                let (_stages, front) = rig(&taken);
+                let (mut client, stream) = duplex(4096);
+                let serving = spawn_local(connection(stream, front.clone()));
+                // The node is busy for 300 ms past its next look at the clock.
+                let busy = Duration::from_millis(350);
+                tokio::time::advance(busy).await;
+                client.write_all(WHOLE.as_bytes()).await.unwrap();
+                settle().await;
+                let request = taken.borrow_mut().pop().expect("a request that was taken");
+                assert_eq!(request.at.elapsed(), Duration::from_millis(300));
+                serving.abort();
+            })
+            .await;
+    }
+
     // Guards against a connection whose half-read request keeps it, and the node, past its end: what completes it
     // there would be taken and never answered.
     #[tokio::test(start_paused = true)]
     async fn a_half_read_request_has_no_longer_than_the_node() {
         let ended_after = |closing, gone| async move {
             let (stages, stage) = watch::channel(Stage::Serving);
-            let front = Rc::new(Front::new(&Settings::default(), Rc::default(), stage, Rc::new(|_| {})));
+            let front = Rc::new(Front::new(
+                &Settings::default(),
+                Rc::default(),
+                Rc::new(Pulse::start()),
+                stage,
+                Rc::new(|_| {}),
+            ));
             let (mut client, stream) = duplex(1024);
             let start = Instant::now();
             let serving = spawn_local(async move {
