A node that is behind gives its answers sooner by as much

Cause: driver.rs, request(): the margin for the way back was 5 ms, however far the node was behind. Change: a request says how far the node was behind when it read it, and its answer is due sooner by that much. Test: without the mend the answer of a node 0.4 s behind comes 0.4 s later.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -217,7 +217,8 @@
 
     fn request(&mut self, taken: Taken) {
         let id = request_id(taken.ticket);
-        let until = self.bound(taken.at + taken.patience.saturating_sub(MARGIN));
+        // A node that is behind is behind with its answers, too: they are due that much sooner.
+        let until = self.bound(taken.at + taken.patience.saturating_sub(MARGIN + taken.behind));
         let client_id = taken.message.id.to_str().unwrap_or("?");
         let open = Open {
             span: debug_span!(target: "request", "request", id = client_id, ticket = taken.ticket),
@@ -456,6 +457,7 @@
         inputs: UnboundedReceiver<Input>,
         _servers: Vec<TcpListener>,
         tickets: u64,
+        behind: Duration,
     }
 
     const LONG: Duration = Duration::from_secs(600);
@@ -475,7 +477,7 @@
             });
             let known = json!({"seq": 1, "whole": true, "hosts": hosts.collect::<Vec<_>>()});
             driver.restore(serde_json::from_value(known).unwrap());
-            Self { driver, events, inputs, _servers: servers, tickets: 0 }
+            Self { driver, events, inputs, _servers: servers, tickets: 0, behind: Duration::ZERO }
         }
 
         fn ask(&mut self, class: usize) -> (RequestId, Receiver<Answer>) {
@@ -491,6 +493,7 @@
             self.driver.take(Input::Client(Word::Taken(Box::new(Taken {
                 ticket: self.tickets,
                 at: Instant::now(),
+                behind: self.behind,
                 patience: LONG,
                 class: ClassId(class),
                 kind: "read".into(),
@@ -526,6 +529,25 @@
         LocalSet::new().run_until(stop_with_all_kinds_out()).await;
     }
 
+    // Guards against an answer that is given in time by a node that is too late to write it.
+    #[tokio::test(start_paused = true)]
+    async fn a_node_that_is_behind_gives_its_answers_sooner_by_as_much() {
+        LocalSet::new()
+            .run_until(async {
+                let mut rig = Rig::new(1);
+                rig.behind = Duration::from_millis(400);
+                let (start, (_, mut answer)) = (Instant::now(), rig.ask(1));
+                while answer.try_recv().is_err() {
+                    rig.driver.step(&mut rig.inputs).await;
+                }
+                assert!(start.elapsed() <= LONG - rig.behind, "answered after {:?}", start.elapsed());
+                // Nothing is left of a client's patience: what can't be answered in time is given up at once.
+                rig.behind = LONG;
+                assert!(rig.ask(1).1.try_recv().is_ok());
+            })
+            .await;
+    }
+
     async fn stop_with_all_kinds_out() {
         let mut rig = Rig::new(3);
         let silent = rig.ask(1);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -46,8 +46,10 @@
 pub struct Taken {
     /// A number that is never used twice: a client's own id might come again.
     pub ticket: u64,
-    /// When it came: no later than this node could have read it.
+    /// When it came: as long ago as the node may have left it unread.
     pub at: Instant,
+    /// How far the node was behind when it read it: its answer may be late by as much.
+    pub behind: Duration,
     /// How long the client waits.
     pub patience: Duration,
     pub class: ClassId,
@@ -420,9 +422,10 @@
     place: &Place,
     whole_by: Instant,
 ) -> Result<Reply, Reply> {
-    let now = Instant::now();
     // A client's time runs from when it sent: a node that is behind has kept the request waiting unread.
-    let at = now.checked_sub(front.pulse.lag(now)).unwrap_or(now);
+    let now = Instant::now();
+    let behind = front.pulse.lag(now);
+    let at = now.checked_sub(behind).unwrap_or(now);
     let (head, body) = request.into_parts();
     let target =
         head.uri.path_and_query().cloned().ok_or_else(|| plain(StatusCode::BAD_REQUEST, "no path"))?;
@@ -454,7 +457,7 @@
         Ok(Err(_)) => return Err(plain(StatusCode::BAD_REQUEST, "the body broke off")),
     };
     place.doing.set(Doing::Answering);
-    Ok(hand_over(front, at, key, target, head.method, asked, body).await)
+    Ok(hand_over(front, (at, behind), key, target, head.method, asked, body).await)
 }
 
 /// What the headers of a request say.
@@ -520,7 +523,7 @@
 
 async fn hand_over(
     front: &Front,
-    at: Instant,
+    (at, behind): (Instant, Duration),
     key: u64,
     target: PathAndQuery,
     method: Method,
@@ -533,6 +536,7 @@
     let taken = Taken {
         ticket,
         at,
+        behind,
         patience: asked.patience,
         class: asked.class,
         kind,
@@ -737,7 +741,10 @@
                 client.write_all(WHOLE.as_bytes()).await.unwrap();
                 settle().await;
                 let request = taken.borrow_mut().pop().expect("a request that was taken");
-                assert_eq!(request.at.elapsed(), Duration::from_millis(300));
+                assert_eq!(
+                    (request.at.elapsed(), request.behind),
+                    (Duration::from_millis(300), Duration::from_millis(300))
+                );
                 serving.abort();
             })
             .await;
