--- a/tests/node_common/mod.rs
+++ b/tests/node_common/mod.rs
@@ -78,6 +78,8 @@
     Twice(String, Arc<Mutex<Duration>>),
     /// Says nothing, until the node closes.
     Nothing,
+    /// Begins an answer and goes on with it for as long as the node reads.
+    Endless,
 }
 
 /// A cache server. It keeps what it was asked, in order.
@@ -122,6 +124,14 @@
                                 *took = start.elapsed().max(*took);
                             }
                             Does::Nothing => {}
+                            Does::Endless => {
+                                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                                let mut wrote = stream.write_all(head.as_bytes());
+                                while wrote.is_ok() {
+                                    wrote = stream.write_all(b"1\r\nv\r\n");
+                                    thread::sleep(Duration::from_millis(5));
+                                }
+                            }
                         }
                     }
                     closed.fetch_add(1, Ordering::SeqCst);
