--- a/tests/node_stops.rs
+++ b/tests/node_stops.rs
@@ -6,8 +6,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// What a server does with any request.
+type Habit = fn() -> Does;
+
 /// The servers that a stop may meet, by what they do with a request.
-const SERVERS: [(&str, fn() -> Does); 6] = [
+const SERVERS: [(&str, Habit); 6] = [
     ("answers", || Does::Answer(answer("200 OK", "", "value"))),
     ("is slow", || {
         thread::sleep(Duration::from_millis(200));
@@ -41,7 +44,7 @@
 }
 
 /// `false` where the machine was too slow to send what was to be sent while the node could still take it.
-fn stop_beside(does: fn() -> Does) -> bool {
+fn stop_beside(does: Habit) -> bool {
     let server = CacheServer::start(move |_| does());
     let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
     let mut config = config(discovery.address);
