Tests: one quick stop and one front for all that need them

Read once more: three tests set the classes' deadlines by the same loop, two wrote down the same patience, one built a front that rig() builds, and a test stood between another and its body. They share with_deadlines, quick_stop and MINUTES of node_common now; what each asserts is as it was.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -529,25 +529,6 @@
         LocalSet::new().run_until(stop_with_all_kinds_out()).await;
     }
 
-    // Guards against an answer that is given in time by a node that is too late to write it.
-    #[tokio::test(start_paused = true)]
-    async fn a_node_that_is_behind_gives_its_answers_sooner_by_as_much() {
-        LocalSet::new()
-            .run_until(async {
-                let mut rig = Rig::new(1);
-                rig.behind = Duration::from_millis(400);
-                let (start, (_, mut answer)) = (Instant::now(), rig.ask(1));
-                while answer.try_recv().is_err() {
-                    rig.driver.step(&mut rig.inputs).await;
-                }
-                assert!(start.elapsed() <= LONG - rig.behind, "answered after {:?}", start.elapsed());
-                // Nothing is left of a client's patience: what can't be answered in time is given up at once.
-                rig.behind = LONG;
-                assert!(rig.ask(1).1.try_recv().is_ok());
-            })
-            .await;
-    }
-
     async fn stop_with_all_kinds_out() {
         let mut rig = Rig::new(3);
         let silent = rig.ask(1);
@@ -587,4 +568,23 @@
             "what comes after the last moment is answered at once"
         );
     }
+
+    // Guards against an answer that is given in time by a node that is too late to write it.
+    #[tokio::test(start_paused = true)]
+    async fn a_node_that_is_behind_gives_its_answers_sooner_by_as_much() {
+        LocalSet::new()
+            .run_until(async {
+                let mut rig = Rig::new(1);
+                rig.behind = Duration::from_millis(400);
+                let (start, (_, mut answer)) = (Instant::now(), rig.ask(1));
+                while answer.try_recv().is_err() {
+                    rig.driver.step(&mut rig.inputs).await;
+                }
+                assert!(start.elapsed() <= LONG - rig.behind, "answered after {:?}", start.elapsed());
+                // Nothing is left of a client's patience: what can't be answered in time is given up at once.
+                rig.behind = LONG;
+                assert!(rig.ask(1).1.try_recv().is_ok());
+            })
+            .await;
+    }
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -755,14 +755,7 @@
     #[tokio::test(start_paused = true)]
     async fn a_half_read_request_has_no_longer_than_the_node() {
         let ended_after = |closing, gone| async move {
-            let (stages, stage) = watch::channel(Stage::Serving);
-            let front = Rc::new(Front::new(
-                &Settings::default(),
-                Rc::default(),
-                Rc::new(Pulse::start()),
-                stage,
-                Rc::new(|_| {}),
-            ));
+            let (stages, front) = rig(&Rc::default());
             let (mut client, stream) = duplex(1024);
             let start = Instant::now();
             let serving = spawn_local(async move {
--- a/tests/node_common/mod.rs
+++ b/tests/node_common/mod.rs
@@ -261,6 +261,22 @@
     })
 }
 
+/// The same with another deadline of all classes, which a stop's length follows.
+pub fn with_deadlines(mut config: Value, deadline_us: u64) -> Value {
+    for lane in config["settings"]["lanes"].as_array_mut().unwrap() {
+        lane["hard_limit_us"] = deadline_us.into();
+    }
+    config
+}
+
+/// A configuration of a node whose stop takes under two seconds: it closes after 1 s and is gone after 1.65 s.
+pub fn quick_stop(discovery: SocketAddr) -> Value {
+    with_deadlines(config(discovery), 1_000_000)
+}
+
+/// The patience of clients that wait for ten minutes.
+pub const MINUTES: u64 = 600_000;
+
 static CONFIGS: AtomicU32 = AtomicU32::new(0);
 
 pub fn write_config(text: &str) -> std::path::PathBuf {
--- a/tests/node_lifecycle.rs
+++ b/tests/node_lifecycle.rs
@@ -3,8 +3,6 @@
 mod node_common;
 
 use node_common::*;
-use serde_json::Value;
-use std::net::SocketAddr;
 use std::process::Command;
 use std::sync::{Arc, Condvar, Mutex};
 
@@ -43,10 +41,7 @@
 fn a_leaving_node_serves_on_kept_connections() {
     let server = CacheServer::serving("value");
     let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
-    let mut config = config(discovery.address);
-    for lane in config["settings"]["lanes"].as_array_mut().unwrap() {
-        lane["hard_limit_us"] = 3_000_000.into();
-    }
+    let config = with_deadlines(config(discovery.address), 3_000_000);
     // A machine that is too busy may see the node close before it asks: then it asks another one.
     let kept = (0..10).any(|_| {
         let node = Node::ready(&config);
@@ -61,18 +56,6 @@
     assert!(kept, "every answer of a leaving node asked its client to go");
 }
 
-/// A configuration whose clients may wait for ten minutes, at a server that says nothing, with a stop that takes
-/// under two seconds.
-fn quick_stop(discovery: SocketAddr) -> Value {
-    let mut config = config(discovery);
-    for lane in config["settings"]["lanes"].as_array_mut().unwrap() {
-        lane["hard_limit_us"] = 1_000_000.into();
-    }
-    config
-}
-
-const MINUTES: u64 = 600_000;
-
 // Guards against a kill that finds a request open: a client's own patience may be longer than the node's time.
 #[test]
 fn a_terminated_node_answers_all_it_took_before_its_own_time_is_up() {
--- a/tests/node_limits.rs
+++ b/tests/node_limits.rs
@@ -4,7 +4,8 @@
 
 use node_common::*;
 use serde_json::Value;
-use std::time::Duration;
+use std::ops::Range;
+use std::time::{Duration, Instant};
 
 const SERVERS: usize = 1_024;
 /// The platform's least, in the units of /proc.
@@ -34,25 +35,24 @@
 fn a_node_with_the_least_limits_serves_beside_1024_servers_and_nodes() {
     let (old, new) = (CacheServer::serving("old"), CacheServer::serving("new"));
     let discovery = Discovery::start(&entries(&old, "ready"));
-    let mut config = config(discovery.address);
+    let mut config = quick_stop(discovery.address);
     config["limits"]["sockets"] = DESCRIPTORS.into();
     config["limits"]["memory_mb"] = 32.into();
     config["settings"]["balancers"] = SERVERS.into();
     config["known"]["hosts"] = entries(&old, "ready").into();
-    for lane in config["settings"]["lanes"].as_array_mut().unwrap() {
-        lane["hard_limit_us"] = 1_000_000.into();
-    }
     let node = Node::ready(&config);
     discovery.wait_until_told(1);
     // More keys than descriptors: connections to servers that are met once give way to others.
     let mut client = node.client();
     let mut most = 0;
-    for key in 0..400u64 {
-        let id = key.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let served = client.ask(&read("read", id, 20_000));
-        assert_eq!((served.status(), &served.body[..]), (200, &b"old"[..]), "key {key}");
-        most = most.max(descriptors(&node));
-    }
+    let mut serve = |keys: Range<u64>, value: &[u8]| {
+        for key in keys {
+            let served = client.ask(&read("read", key.wrapping_mul(0x9e37_79b9_7f4a_7c15), 20_000));
+            assert_eq!((served.status(), &served.body[..]), (200, value), "key {key}");
+            most = most.max(descriptors(&node));
+        }
+    };
+    serve(0..400, b"old");
     // Half of them drain, and what drains gets nothing new: the others have moved to another address.
     let mut changed = entries(&old, "draining");
     for (i, entry) in changed.iter_mut().enumerate().skip(SERVERS / 2) {
@@ -60,16 +60,12 @@
     }
     discovery.tell(true, &changed);
     discovery.wait_until_told(2);
-    for key in 400..500u64 {
-        let served = client.ask(&read("read", key.wrapping_mul(0x9e37_79b9_7f4a_7c15), 20_000));
-        assert_eq!((served.status(), &served.body[..]), (200, &b"new"[..]), "key {key}");
-        most = most.max(descriptors(&node));
-    }
+    serve(400..500, b"new");
     let memory = peak_memory(&node);
     assert!(most <= DESCRIPTORS, "{most} descriptors");
     assert!(memory <= MEMORY_KB, "{memory} KiB");
     node.terminate();
-    let told = std::time::Instant::now();
+    let told = Instant::now();
     assert!(node.exit().success());
     // Its plan ends 1.7 s after the signal; this says no more than that it does not hang.
     assert!(told.elapsed() < Duration::from_secs(30));
--- a/tests/node_stops.rs
+++ b/tests/node_stops.rs
@@ -26,9 +26,7 @@
     }),
 ];
 
-const MINUTES: u64 = 600_000;
-
-/// From SIGTERM on this node closes after 1 s and is gone after 1.65 s, with deadlines of 1 s.
+/// After SIGTERM, within a quick stop.
 const CLOSED: Duration = Duration::from_millis(1_150);
 const ALMOST_GONE: Duration = Duration::from_millis(1_400);
 
@@ -47,11 +45,7 @@
 fn stop_beside(does: Habit) -> bool {
     let server = CacheServer::start(move |_| does());
     let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
-    let mut config = config(discovery.address);
-    for lane in config["settings"]["lanes"].as_array_mut().unwrap() {
-        lane["hard_limit_us"] = 1_000_000.into();
-    }
-    let node = Node::ready(&config);
+    let node = Node::ready(&quick_stop(discovery.address));
     for class in ["read", "once", "keyed"] {
         ask_one(&node, class, &server);
     }
