One stream that tells of what passes through it, for clients' and servers' connections

Read once more: Heard (server.rs) and Watched (upstream.rs) each passed six calls of a stream on by hand to note one or two of them. Watched stands in watched.rs now, over any stream, and tells a Watch: the place of a client's connection of bytes read, an attempt of bytes written and flushed.

--- a/src/main.rs
+++ b/src/main.rs
@@ -14,6 +14,7 @@
     pub mod peers;
     pub mod server;
     pub mod upstream;
+    pub mod watched;
 }
 
 use clap::Parser;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,6 +2,7 @@
 
 use crate::net::lifecycle::{Pulse, Stage};
 use crate::net::upstream::{Message, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
+use crate::net::watched::{Watch, Watched};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -16,13 +17,12 @@
 use std::convert::Infallible;
 use std::hash::{DefaultHasher, Hasher};
 use std::io;
-use std::pin::{pin, Pin};
+use std::pin::pin;
 use std::rc::Rc;
 use std::str::FromStr;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
@@ -172,8 +172,8 @@
         }
     }
 
-    /// Bytes have come.
-    fn read(&self) {
+    /// A request has begun to come, if none has before.
+    fn begin(&self) {
         if self.doing.get() == Doing::Resting {
             self.doing.set(Doing::Reading);
             self.leave();
@@ -182,7 +182,7 @@
 
     /// Until when the request whose head has just come must be whole.
     fn head(&self) -> Instant {
-        self.read();
+        self.begin();
         let heads = self.heads.replace(self.heads.get() + 1);
         let from = if heads == 0 { self.opened } else { Instant::now() };
         from + WHOLE_REQUEST
@@ -193,6 +193,12 @@
     }
 }
 
+impl Watch for Rc<Place> {
+    fn read(&self) {
+        self.begin();
+    }
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
         self.leave();
@@ -295,53 +301,6 @@
     Ok((stream, slot))
 }
 
-/// A client's stream that tells the connection's place of what comes.
-struct Heard<S> {
-    stream: S,
-    place: Rc<Place>,
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for Heard<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let held = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > held {
-            self.place.read();
-        }
-        read
-    }
-}
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for Heard<S> {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-}
-
 async fn connection(stream: impl AsyncRead + AsyncWrite + Unpin + 'static, front: Rc<Front>) {
     let (mut stage, mut end) = (front.stage.clone(), front.stage.clone());
     let place = Rc::new(Place::new(front.clone()));
@@ -353,7 +312,7 @@
     });
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
-    let heard = Heard { stream, place: place.clone() };
+    let heard = Watched { stream, watch: place.clone() };
     let mut serving = pin!(http.serve_connection(TokioIo::new(heard), service));
     let mut silence = pin!(place.silence());
     // An error here is a client that left or spoke no HTTP: hyper has answered what can be answered.
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,21 +1,19 @@
 //! Connections to cache servers, one request at a time on each; attempts and how they end.
 
+use crate::net::watched::{Watch, Watched};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderName, HeaderValue, HOST};
 use hyper::http::uri::PathAndQuery;
-use hyper::rt::ReadBufCursor;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -86,61 +84,17 @@
     }
 }
 
-/// A socket that notes when a request's last byte is written. hyper puts a head and a body that is at hand
-/// into one buffer and flushes the socket only when that is empty: a flush after a write is the end of it.
-struct Watched {
-    stream: TokioIo<TcpStream>,
-    written: Rc<Written>,
-}
-
-impl Watched {
-    fn note(&self, wrote: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if matches!(wrote, Poll::Ready(Ok(n)) if n > 0) {
-            self.written.begun.set(true);
-        }
-        wrote
-    }
-}
-
-impl hyper::rt::Read for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl hyper::rt::Write for Watched {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let wrote = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.note(wrote)
+/// hyper puts a head and a body that is at hand into one buffer and flushes the socket only when that is empty: a
+/// flush after a write is the end of it.
+impl Watch for Rc<Written> {
+    fn wrote(&self) {
+        self.begun.set(true);
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
-        if matches!(flushed, Poll::Ready(Ok(()))) && self.written.begun.get() {
-            self.written.whole.set(true);
+    fn flushed(&self) {
+        if self.begun.get() {
+            self.whole.set(true);
         }
-        flushed
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let wrote = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.note(wrote)
     }
 }
 
@@ -335,8 +289,9 @@
             let stream = TcpStream::connect(peer.dial.get()).await?;
             stream.set_nodelay(true)?;
             let written = Rc::new(Written::default());
-            let watched = Watched { stream: TokioIo::new(stream), written: written.clone() };
-            let (sender, driving) = http1::handshake(watched).await.map_err(io::Error::other)?;
+            let watched = Watched { stream, watch: written.clone() };
+            let (sender, driving) =
+                http1::handshake(TokioIo::new(watched)).await.map_err(io::Error::other)?;
             let task = tokio::task::spawn_local(async move {
                 // How it ends shows at the attempt on it, or when it is taken from the idle ones.
                 let _ = driving.await;
