Hold open requests to a stop's end in one walk over them

Driver::stop collected the requests to be held, then looked each up twice more to change it, as the bound was a method of the whole driver. It is a function of the two times now. No change of behaviour: the test of a stop with all kinds of requests out, and tests/node_stops.rs.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -218,7 +218,7 @@
     fn request(&mut self, taken: Taken) {
         let id = request_id(taken.ticket);
         // A node that is behind is behind with its answers, too: they are due that much sooner.
-        let until = self.bound(taken.at + taken.patience.saturating_sub(MARGIN + taken.behind));
+        let until = bound(taken.at + taken.patience.saturating_sub(MARGIN + taken.behind), self.answer_by);
         let client_id = taken.message.id.to_str().unwrap_or("?");
         let open = Open {
             span: debug_span!(target: "request", "request", id = client_id, ticket = taken.ticket),
@@ -244,25 +244,14 @@
         }));
     }
 
-    /// `until`, or what the node's own end leaves of it: a client that would wait longer gets its answer before.
-    fn bound(&self, until: Instant) -> Instant {
-        match self.answer_by {
-            Some(answer_by) => until.min(answer_by.checked_sub(GUARD).unwrap_or(answer_by)),
-            None => until,
-        }
-    }
-
     /// Whatever is out when the node is told to stop is held to its end as well.
     fn stop(&mut self, answer_by: Instant) {
         self.answer_by = Some(answer_by);
-        let owed = self.open.iter().filter(|(_, open)| open.answer.is_some());
-        let cut: Vec<_> = owed.filter(|(_, open)| self.bound(open.until) < open.until).collect();
-        let cut: Vec<_> = cut.into_iter().map(|(id, _)| id.clone()).collect();
-        for id in cut {
-            let until = self.open.get(&id).map(|open| self.bound(open.until));
-            if let (Some(open), Some(until)) = (self.open.get_mut(&id), until) {
+        for (id, open) in self.open.iter_mut().filter(|(_, open)| open.answer.is_some()) {
+            let until = bound(open.until, self.answer_by);
+            if until < open.until {
                 open.until = until;
-                self.timers.push(Reverse((until + GUARD, Timer::Guard(id))));
+                self.timers.push(Reverse((until + GUARD, Timer::Guard(id.clone()))));
             }
         }
     }
@@ -433,6 +422,14 @@
     }
 }
 
+/// `until`, or what the node's own end leaves of it: a client that would wait longer gets its answer before.
+fn bound(until: Instant, answer_by: Option<Instant>) -> Instant {
+    match answer_by {
+        Some(answer_by) => until.min(answer_by.checked_sub(GUARD).unwrap_or(answer_by)),
+        None => until,
+    }
+}
+
 fn request_id(ticket: u64) -> RequestId {
     RequestId::from(ticket.to_string().as_str())
 }
