--- a/src/main.rs
+++ b/src/main.rs
@@ -142,15 +142,15 @@
     stages.send_replace(Stage::Leaving);
     sleep_until(stop.close_at).await;
     stages.send_replace(Stage::Closing);
-    if let Ok(ended) = timeout_at(stop.gone_by, &mut serving).await {
-        ended?;
-    } else {
-        // Whoever is owed an answer still gets it, unless the client does not read what it is sent.
-        stages.send_replace(Stage::Gone);
-        if let Ok(ended) = timeout_at(stop.kill, serving).await {
-            ended?;
+    let ended = match timeout_at(stop.gone_by, &mut serving).await {
+        Ok(ended) => Some(ended),
+        Err(_) => {
+            // Whoever is owed an answer still gets it, unless the client does not read what it is sent.
+            stages.send_replace(Stage::Gone);
+            timeout_at(stop.kill, serving).await.ok()
         }
-    }
+    };
+    ended.transpose()?;
     let last = front.answered.get().filter(|last| *last >= told);
     let spare_ms = last.map(|last| (stop.kill - last).as_millis() as u64);
     info!(
