Tests live in files of their own: inline modules move beside what they test

Need: tests belong in test files, and the modules that they check are read more easily without them.

No line of them changed but for indentation and one relative path of an included page.

--- /dev/null
+++ b/src/log/tests.rs
@@ -0,0 +1,72 @@
+use super::*;
+use tracing::subscriber::with_default;
+use tracing::{debug, info};
+
+#[derive(Clone, Default)]
+struct Written(Arc<Mutex<Vec<u8>>>);
+
+impl io::Write for Written {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn lines_of(log: &Log, limit: &Limit, write: impl Fn()) -> Vec<String> {
+    let written = Written::default();
+    let writer = written.clone();
+    let lines = fmt::layer().with_ansi(false).with_writer(move || writer.clone());
+    with_default(registry().with(targets(log)).with(limit.clone()).with(lines), write);
+    let text = String::from_utf8(written.0.lock().unwrap().clone()).unwrap();
+    text.lines().map(str::to_owned).collect()
+}
+
+// Guards against a fault storm that takes the node's time and its disk by way of the log.
+#[test]
+fn like_lines_are_held_to_a_number_and_the_others_are_counted() {
+    let limit = Limit::new(3, Duration::from_secs(3600));
+    let lines = lines_of(&Log::default(), &limit, || {
+        for i in 0..1000 {
+            info!(target: "request", "request {i} failed");
+        }
+        info!(target: "policy", "breaker tripped");
+        limit.tell();
+        limit.tell();
+    });
+    assert_eq!(lines.len(), 5, "{lines:?}");
+    assert!(lines[3].contains("policy: breaker tripped"), "{lines:?}");
+    assert!(lines[4].contains("lines left out") && lines[4].contains("count=997"), "{lines:?}");
+    assert!(lines[4].contains("of=\"request\""), "{lines:?}");
+}
+
+#[test]
+fn a_new_window_admits_anew() {
+    fn some_place() -> &'static Metadata<'static> {
+        let mut found = None;
+        with_default(registry(), || {
+            found = tracing::info_span!("place").metadata();
+        });
+        found.unwrap()
+    }
+    let (limit, place, start) = (Limit::new(2, Duration::from_secs(1)), some_place(), Instant::now());
+    let admitted = |ms: &u64| limit.admits(place, start + Duration::from_millis(*ms));
+    assert_eq!([0, 500, 999, 1000, 1500, 1999, 2000].iter().filter(|ms| admitted(ms)).count(), 5);
+    assert_eq!(limit.take_left_out()[0].1, 2);
+}
+
+#[test]
+fn levels_hold_by_subsystem() {
+    let levels = [("policy".to_owned(), Level::Off), ("request".to_owned(), Level::Debug)];
+    let log = Log { level: Level::Warn, levels: levels.into(), ..Log::default() };
+    let lines = lines_of(&log, &Limit::new(10, Duration::from_secs(1)), || {
+        debug!(target: "request", "one");
+        warn!(target: "policy", "two");
+        info!(target: "discovery", "three");
+        warn!(target: "discovery", "four");
+    });
+    let ends: Vec<_> = lines.iter().map(|line| line.rsplit(' ').next().unwrap()).collect();
+    assert_eq!(ends, ["one", "four"]);
+}
--- /dev/null
+++ b/src/net/config/section/tests.rs
@@ -0,0 +1,72 @@
+use super::*;
+use serde_json::json;
+
+fn faults_of(section: Value) -> Vec<String> {
+    let mut faults = Vec::new();
+    read(Some(&section), &mut faults);
+    faults.iter().map(Fault::to_string).collect()
+}
+
+/// Leaves of a value by path; an object that is an item itself is a leaf.
+fn leaves(path: &str, value: &Value, found: &mut BTreeMap<String, Value>) {
+    match value.as_object() {
+        Some(fields) if !ITEMS.iter().any(|item| item.path == path) => {
+            for (name, value) in fields {
+                let below = if path.is_empty() { name.clone() } else { format!("{path}.{name}") };
+                leaves(&below, value, found);
+            }
+        }
+        _ => drop(found.insert(path.to_owned(), value.clone())),
+    }
+}
+
+#[test]
+fn the_declared_values_are_those_of_the_types_with_their_defaults() {
+    let mut typed = BTreeMap::new();
+    leaves("", &serde_json::to_value(Section::default()).unwrap(), &mut typed);
+    let declared = ITEMS.iter();
+    let declared = declared.map(|item| (item.path.to_owned(), serde_json::from_str(item.default).unwrap()));
+    assert_eq!(declared.collect::<BTreeMap<_, Value>>(), typed);
+}
+
+#[test]
+fn the_reference_page_lists_every_value_and_no_other() {
+    let page = include_str!("../../../../docs/configuration.md");
+    let rows = page.lines().filter(|line| line.starts_with("| `walkpick."));
+    let declared = ITEMS.iter().map(|item| {
+        let (path, expected, about) = (item.path, item.kind.expected(), item.about);
+        format!("| `walkpick.{path}` | {expected} | `{}` | {about} |", item.default)
+    });
+    let declared: Vec<_> = declared.collect();
+    assert_eq!(rows.collect::<Vec<_>>(), declared, "docs/configuration.md");
+}
+
+#[test]
+fn a_section_is_read_with_defaults_for_what_it_lacks() {
+    let mut faults = Vec::new();
+    let section = json!({"log": {"format": "json", "levels": {"request": "off"}, "window": "250ms"}});
+    let log = read(Some(&section), &mut faults).log;
+    assert_eq!((log.format, log.level, log.like_lines), (Format::Json, Level::Info, 100));
+    assert_eq!((log.window, log.levels["request"]), (Duration::from_millis(250), Level::Off));
+    assert_eq!(faults, []);
+}
+
+#[test]
+fn all_faults_of_a_section_are_told_at_once() {
+    let section = json!({"log": {"levle": "info", "like_lines": -3, "window": "-1s",
+                                     "levels": {"polcy": "info", "request": "loud"}}, "zzz": 1});
+    assert_eq!(
+        faults_of(section),
+        [
+            "walkpick.log.levels.polcy: found an unknown name, expected a known name: did you mean `policy`?",
+            "walkpick.log.levels.request: found \"loud\", expected one of `off`, `error`, `warn`, `info`, \
+                 `debug`, `trace`",
+            "walkpick.log.levle: found an unknown name, expected a known name: did you mean `level`?",
+            "walkpick.log.like_lines: found -3, expected a whole number from 1 to 1000000",
+            "walkpick.log.window: found \"-1s\", expected a time as text from `100ms` to `1h`",
+            "walkpick.zzz: found an unknown name, expected one of the names log, peers",
+        ]
+    );
+    assert_eq!(faults_of(json!(7)), ["walkpick: found 7, expected an object"]);
+    assert_eq!(faults_of(json!({"log": {"window": "900000000000000000000000years"}})).len(), 1);
+}
