A cold server's room counts work, and half a span in hand stays within what it bears

And 0.7 of the stated multiple with half a span in hand is 1.05 of it at large numbers, where chance (2 x root of N + 2) no longer covers it.

Change: a request costs what its client announces against the mean of what clients announce, and needs that much room; the mean starts with the first request and not at zero; 0.65 of the multiple, 0.975 with what is in hand.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -6,8 +6,9 @@
 use crate::api::{Action, Request, Timestamp};
 use std::time::Duration;
 
-/// Share of a cold server's stated multiple that is used: half a span's sends may be in hand when one begins.
-const COLD_PART: f64 = 0.7;
+/// Share of a cold server's stated multiple that is used: half a span's sends may be in hand when one begins, and
+/// with those that the span brings they stay within what is borne, chance left aside.
+const COLD_PART: f64 = 0.65;
 /// An answer is late past this share of its aim, from a server at least this busy.
 pub(super) const AIM_SHARE: f64 = 0.7;
 pub(super) const BUSY: f64 = 0.8;
@@ -68,8 +69,14 @@
         }
     }
 
-    pub(super) fn takes_more(&self, i: usize, now: Timestamp) -> bool {
-        self.servers[i].room >= 1.0 || !self.is_cold(&self.servers[i], now)
+    /// What a request is of a usual one, by the work that its client announces.
+    pub(super) fn in_mean_work(&self, request: &Request) -> f64 {
+        let known = request.expected_work.filter(|_| self.works > 0.0);
+        known.map_or(1.0, |work| work.as_secs_f64() / self.usual_work.max(1e-9))
+    }
+
+    pub(super) fn takes_more(&self, i: usize, request: &Request, now: Timestamp) -> bool {
+        !self.is_cold(&self.servers[i], now) || self.servers[i].room >= self.in_mean_work(request).max(1.0)
     }
 
     /// An answer to it that comes later is late: past a part of its aim, or for a heavy one past more of it.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -44,7 +44,9 @@
     limit_start: f64,
     /// By class: what its answers take of late, in seconds.
     usual: Vec<f64>,
+    /// The mean of what requests bring as their work, in seconds, and over how many.
     usual_work: f64,
+    works: f64,
     kinds: Vec<Kind>,
     zones: Vec<Zone>,
     /// The breaker of what servers fetch misses from, where they tell of misses.
@@ -84,6 +86,7 @@
             drawn: 0,
             usual,
             usual_work: 0.0,
+            works: 0.0,
             kinds: Vec::new(),
             zones: Vec::new(),
             origin: Breaker::new(Timestamp::default()),
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -37,7 +37,7 @@
                 && self.may_send(now, held, entry)
                 && self.servers[*i].breaker.admits(now)
                 && self.may_try(*i, now)
-                && self.takes_more(*i, now)
+                && self.takes_more(*i, &held.request, now)
                 && !held.attempts.iter().any(|a| a.entry.id == entry.id)
         };
         let room = |i: usize, share: f64| {
@@ -64,7 +64,8 @@
             return open.into_iter().enumerate().find(|&(n, i)| room(i, share(n))).map(|(_, i)| i);
         }
         // Every server is blocked: the key's own server then, rather than none.
-        (self.takes_more(own, now) && held.attempts.is_empty() && room(own, 1.0)).then_some(own)
+        (self.takes_more(own, &held.request, now) && held.attempts.is_empty() && room(own, 1.0))
+            .then_some(own)
     }
 
     /// Counts a request for a key. Keys that were not asked for lately give way when too many are known.
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -90,8 +90,10 @@
         let known = held.attempts[outcome.attempt as usize].counted;
         let epoch = epochs.0;
         let in_time = outcome.took <= self.due_within(&held.request);
-        let work = held.request.expected_work.map_or(0.0, |work| work.as_secs_f64());
-        self.usual_work += (work - self.usual_work) / 100.0;
+        if let Some(work) = held.request.expected_work {
+            self.works = (self.works + 1.0).min(100.0);
+            self.usual_work += (work.as_secs_f64() - self.usual_work) / self.works;
+        }
         let spare = outcome.load.busy.is_some_and(|busy| busy < BUSY);
         // Where nobody waits it is most often the work itself that takes long. One of many nodes cannot tell:
         // it meets the server so seldom that the report is older than the bursts of the others.
@@ -174,8 +176,9 @@
         failed: bool,
         actions: &mut Vec<Action>,
     ) {
+        let work = self.in_mean_work(&held.request).min(self.servers[i].room);
         let server = &mut self.servers[i];
-        server.room = (server.room - 1.0).max(0.0);
+        server.room -= work;
         server.in_flight += 1;
         (server.sent, server.gap) = (now, now.since(server.sent));
         if server.breaker.state != State::Closed {
