Past its window a keyed request counts as unsafe: neither begun again nor given back

Change: repeatable_until is the one place that knows; a refusal needs it to lie past the time that the client is told to stay away, and each Send carries begin_within, which the connection has to be up by.

--- a/lab/src/policies.rs
+++ b/lab/src/policies.rs
@@ -117,7 +117,7 @@
         match first.filter(|(takes, _)| *takes < left) {
             Some((_, server)) => {
                 let (server, timeout) = (server.clone(), request.valid_until.since(now));
-                actions.push(Action::Send { id: id.clone(), server, timeout });
+                actions.push(Action::Send { id: id.clone(), server, timeout, begin_within: None });
                 self.open.insert(id, (request, attempt));
             }
             None if attempt == 0 => actions.push(Action::Refuse { id, retry_after: Duration::ZERO }),
@@ -304,7 +304,7 @@
             *state = state.sent();
         }
         let timeout = request.valid_until.since(now);
-        actions.push(Action::Send { id: id.clone(), server, timeout });
+        actions.push(Action::Send { id: id.clone(), server, timeout, begin_within: None });
         self.open.insert(id, (request, attempt));
     }
 
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -416,7 +416,7 @@
 
     fn carry_out(&mut self, node: usize, action: Action) {
         match action {
-            Action::Send { id, server, timeout } => self.send(node, ticket_of(&id), &server, timeout),
+            Action::Send { id, server, timeout, .. } => self.send(node, ticket_of(&id), &server, timeout),
             Action::Refuse { id, retry_after } => self.refuse(node, ticket_of(&id), retry_after),
             Action::Fail { id } => self.answer(ticket_of(&id), End::Failed, 0),
             Action::Wake { after } => {
--- a/src/api.rs
+++ b/src/api.rs
@@ -41,6 +41,8 @@
 pub struct Timestamp(u64);
 
 impl Timestamp {
+    /// Later than any other.
+    pub const MAX: Self = Self(u64::MAX);
     /// From a count of microseconds.
     pub const fn from_micros(micros: u64) -> Self {
         Self(micros)
@@ -431,6 +433,9 @@
         server: ServerId,
         /// Time-out of the attempt; the client's own end of patience cuts it short.
         timeout: Duration,
+        /// The attempt may begin within this time alone, however long its connection takes to come up: later, a
+        /// repeat may run twice. `None` where it may begin at any time.
+        begin_within: Option<Duration>,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -327,7 +327,9 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Send { id, server, timeout } => self.send(id, server, timeout),
+            Action::Send { id, server, timeout, begin_within } => {
+                self.send(id, server, timeout, begin_within);
+            }
             Action::Cancel { id, attempt } => {
                 let Some(open) = self.open.get_mut(&id) else { return };
                 let task = open.attempts.get_mut(attempt as usize).and_then(|sent| sent.task.as_ref());
@@ -348,10 +350,11 @@
         }
     }
 
-    fn send(&mut self, id: RequestId, server: ServerId, timeout: Duration) {
+    fn send(&mut self, id: RequestId, server: ServerId, timeout: Duration, begin_within: Option<Duration>) {
         let Some(open) = self.open.get_mut(&id) else { return };
         let (at, attempt) = (Instant::now(), open.attempts.len() as u32);
         let until = open.until.min(at + timeout);
+        let by = begin_within.map_or(until, |within| until.min(at + within));
         let (upstream, events) = (self.upstream.clone(), self.events.clone());
         let (message, over) = (open.message.clone(), open.answer.is_none());
         let target = server.clone();
@@ -359,7 +362,7 @@
             // The request was over when the module sent it: nothing more goes out for it.
             let ended = match over {
                 true => Ended::without_answer(Status::Ignored),
-                false => upstream.attempt(&target, &message, until).await,
+                false => upstream.attempt(&target, &message, until, by).await,
             };
             // The driver only goes when the node does.
             let _ = events.send(Input::Ended { id, attempt, ended });
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -240,16 +240,17 @@
         !connection.sender.is_closed() && idle < self.idle_limit && self.wear.share(idle, now) <= WORN
     }
 
-    /// One attempt, until its answer is whole, its connection breaks or `until` comes.
-    pub async fn attempt(&self, server: &ServerId, message: &Message, until: Instant) -> Ended {
+    /// One attempt, until its answer is whole, its connection breaks or `until` comes. It begins before `by` or not at
+    /// all: later, a repeat may run twice.
+    pub async fn attempt(&self, server: &ServerId, message: &Message, until: Instant, by: Instant) -> Ended {
         let peer = self.peers.borrow().get(server).cloned();
         let Some(peer) = peer else { return Ended::without_answer(Status::ConnectError) };
-        let connected = timeout_at(until, self.connection(&peer)).await;
+        let connected = timeout_at(until.min(by), self.connection(&peer)).await;
         let Ok(Ok((mut connection, idle))) = connected else {
             return Ended::without_answer(Status::ConnectError);
         };
         // The news may have come while the connection was being made: nothing new after a drain.
-        if !peer.takes_work.get() {
+        if !peer.takes_work.get() || Instant::now() >= by {
             return Ended::without_answer(Status::ConnectError);
         }
         let Ok(request) = request(&peer, message, until) else {
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -198,9 +198,11 @@
             self.due.insert((overdue, held.request.id.clone()));
         }
         held.attempts.push(Attempt { entry, sent: now, epochs, status: None, overdue, counted: false });
+        let until = self.repeatable_until(&held);
+        let begin_within = (until < held.request.valid_until).then(|| until.since(now));
         let timeout = held.request.valid_until.since(now);
         let (id, server) = (held.request.id.clone(), self.servers[i].entry.id.clone());
-        actions.push(Action::Send { id, server, timeout });
+        actions.push(Action::Send { id, server, timeout, begin_within });
         self.keep(held);
     }
 
@@ -221,10 +223,12 @@
 
     pub(super) fn end(&mut self, now: Timestamp, held: Held, actions: &mut Vec<Action>) {
         let effect = self.class(&held.request).effect;
-        let safe_again = matches!(effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. })
-            || held.may_have_run().next().is_none();
-        if safe_again && now < held.request.valid_until {
-            let retry_after = self.retry_after(now, &held.request);
+        let scattered = matches!(effect, Effect::Keyed { scope: Scope::Zone | Scope::Cell, .. })
+            && held.may_have_run().next().is_some();
+        let retry_after = self.retry_after(now, &held.request);
+        // Its client comes again in its own time: no sooner than it is told to.
+        let again = now + retry_after < self.repeatable_until(&held);
+        if again && !scattered && now < held.request.valid_until {
             let id = held.request.id;
             actions.push(Action::Refuse { id, retry_after });
         } else {
--- a/src/policy/retries.rs
+++ b/src/policy/retries.rs
@@ -20,20 +20,24 @@
         (now.since(last.sent).as_secs_f64() / usual).clamp(RETRY_LEAST, 1.0)
     }
 
+    /// Until when rule 2 lets the request begin once more, here or by its client: past the window in which servers
+    /// drop repeats, `keyed` counts as `unsafe`.
+    pub(super) fn repeatable_until(&self, held: &Held) -> Timestamp {
+        let until = |earlier: &Attempt| match self.class(&held.request).effect {
+            Effect::Safe => Timestamp::MAX,
+            Effect::Unsafe => Timestamp::default(),
+            Effect::Keyed { window, .. } => earlier.sent + window,
+        };
+        held.may_have_run().map(until).min().unwrap_or(Timestamp::MAX)
+    }
+
     /// Whether rule 2 lets the request go to this server now.
     pub(super) fn may_send(&self, now: Timestamp, held: &Held, entry: &ServerEntry) -> bool {
-        let effect = self.class(&held.request).effect;
-        held.may_have_run().all(|earlier| match effect {
-            Effect::Safe => true,
-            Effect::Unsafe => false,
-            Effect::Keyed { scope, window } => {
-                now < earlier.sent + window
-                    && match scope {
-                        Scope::All => true,
-                        Scope::Zone => earlier.entry.zone == entry.zone,
-                        Scope::Cell => earlier.entry.cell == entry.cell,
-                    }
-            }
-        })
+        let knows = |earlier: &Attempt| match self.class(&held.request).effect {
+            Effect::Keyed { scope: Scope::Zone, .. } => earlier.entry.zone == entry.zone,
+            Effect::Keyed { scope: Scope::Cell, .. } => earlier.entry.cell == entry.cell,
+            _ => true,
+        };
+        now < self.repeatable_until(held) && held.may_have_run().all(knows)
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -405,7 +405,7 @@
 /// Appends an action of instance `who` to a reply.
 pub fn write_action(out: &mut String, who: u32, action: &Action) {
     let written = match action {
-        Action::Send { id, server, timeout } => {
+        Action::Send { id, server, timeout, .. } => {
             // 0 would mean no time-out at all.
             let allow = timeout.as_micros().max(1);
             writeln!(out, "send who={who} request_id={id} server={server} allow_for_us={allow}")
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -83,7 +83,7 @@
 
     fn carry_out(&mut self, action: &Action) {
         match action {
-            Action::Send { id, server, timeout } => {
+            Action::Send { id, server, timeout, .. } => {
                 let class = self.class_of(&self.requests[id].request);
                 let entry = self.list.get(server).expect("a send to a server no list has named").clone();
                 assert_eq!(entry.availability, Availability::Ready, "rule 3: a send to a leaving server");
@@ -117,6 +117,11 @@
                 assert!(!open.ended, "rule 1: a second final answer");
                 let all = matches!(effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. });
                 assert!(all || !open.sent.iter().any(may_have_run), "rule 2: refused, yet it may have run");
+                if let Effect::Keyed { window, .. } = effect {
+                    let past =
+                        open.sent.iter().any(|sent| may_have_run(sent) && self.now >= sent.at + window);
+                    assert!(!past, "rule 2: refused past the window, so that its client would repeat it");
+                }
                 open.ended = true;
             }
             Action::Fail { id } => {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -29,6 +29,39 @@
     assert!(node.requests[&id].ended);
 }
 
+/// A client that is told to come again would repeat it when no server drops repeats any more.
+#[test]
+fn a_keyed_request_past_its_window_fails_and_is_not_refused() {
+    for (age, fails) in [(ms(900), false), (ms(1_000), true), (ms(1_500), true)] {
+        let mut node = Node::with_servers(settings(), 1);
+        let id = node.request(1, 7, ms(5_000));
+        node.pass(age);
+        let actions = node.answer(&id, Status::Reset);
+        assert_eq!(actions.contains(&Action::Fail { id }), fails, "after {age:?}: {actions:?}");
+    }
+}
+
+/// A connection may take long to come up: a repeat must not begin on it when the window is over.
+#[test]
+fn a_repeat_is_told_until_when_it_may_begin() {
+    let mut node = Node::with_servers(settings(), 3);
+    let within = |actions: &[Action]| {
+        actions.iter().find_map(|action| match action {
+            Action::Send { begin_within, .. } => Some(*begin_within),
+            _ => None,
+        })
+    };
+    let first = node.submit(Request { class: Some(ClassId(1)), ..Request::new("k", node.now + ms(5_000)) });
+    assert_eq!(within(&node.trace), Some(None), "the first may begin at any time");
+    node.pass(ms(300));
+    let again = node.answer(&first, Status::Reset);
+    assert_eq!(within(&again), Some(Some(ms(700))), "the window is 1 s from the first send");
+    let never_ran =
+        node.submit(Request { class: Some(ClassId(1)), ..Request::new("l", node.now + ms(5_000)) });
+    let again = node.answer(&never_ran, Status::ConnectError);
+    assert_eq!(within(&again), Some(None), "nothing has run that it would repeat");
+}
+
 #[test]
 fn a_keyed_request_stays_in_its_cell() {
     let mut settings = settings();
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -136,11 +136,16 @@
     let time = Duration::from_micros(250);
     for (action, line) in [
         (
-            Action::Send { id: id.clone(), server: server.clone(), timeout: time },
+            Action::Send { id: id.clone(), server: server.clone(), timeout: time, begin_within: None },
             "send who=3 request_id=c:x server=s:1 allow_for_us=250\n",
         ),
         (
-            Action::Send { id: id.clone(), server: server.clone(), timeout: Duration::ZERO },
+            Action::Send {
+                id: id.clone(),
+                server: server.clone(),
+                timeout: Duration::ZERO,
+                begin_within: None,
+            },
             "send who=3 request_id=c:x server=s:1 allow_for_us=1\n",
         ),
         (Action::Cancel { id: id.clone(), attempt: 1 }, "abort_attempt who=3 request_id=c:x hop=1\n"),
