A client that has gone gets no further attempt, and an answer is not lost to a close

Cause, by reading and by scripted peers. (1) hyper sees a client leave only while nothing has come behind its request (Conn::mid_message_detect_eof returns while its buffer holds bytes): one that sent on and closed was sent on and retried for. (2) Driver::take, Left, marked the request done and left an attempt whose connection was still coming up alone; Upstream::attempt looked at drains before it wrote, and not at the client. (3) Such an attempt, and one stopped by a drain, came back as ConnectError: a failure of the server, a use of the retry budget and of a cold server's room. (4) A close behind the last answer over unread bytes resets the connection and may take the answer; hyper's buffer grew to 400 KiB for each client that floods.

Ruled out: a client that closes in silence (seen at once), the deadline's guard, cancels by the module (it has none).

Taken::over is the one word that a request is over, set by whoever sees it first and looked at by Start::begin right before the first byte; Driver::withdraw takes back what has not begun, as Ignored. Ignored is no failure, pays back what it took, and the next server is no retry.

--- a/src/main.rs
+++ b/src/main.rs
@@ -12,6 +12,7 @@
     pub mod driver;
     pub mod lifecycle;
     pub mod peers;
+    pub mod read_ahead;
     pub mod server;
     pub mod upstream;
     pub mod watched;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -3,7 +3,7 @@
 
 use crate::net::discovery::{Listing, News};
 use crate::net::server::{Answer, Taken, Word};
-use crate::net::upstream::{Ended, Message, Upstream};
+use crate::net::upstream::{Ended, Message, Start, Upstream};
 use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -72,6 +72,8 @@
     aim: Duration,
     /// `None` once the final answer is given.
     answer: Option<oneshot::Sender<Answer>>,
+    /// Set with the final answer, or by whoever sees its client leave: no attempt begins after that.
+    over: Rc<Cell<bool>>,
     until: Instant,
     attempts: Vec<Sent>,
 }
@@ -81,6 +83,8 @@
     at: Instant,
     /// How it ended, and how long after it was sent.
     end: Option<(Status, Option<Note>, Duration)>,
+    /// Its first byte was handed on.
+    begun: Rc<Cell<bool>>,
     /// `None` once its end is known.
     task: Option<AbortHandle>,
 }
@@ -168,9 +172,10 @@
                 let id = request_id(ticket);
                 if let Some(open) = self.open.get_mut(&id).filter(|open| open.answer.is_some()) {
                     open.answer = None;
+                    open.over.set(true);
                     open.tell("left");
                     self.due.push_back(Event::Abandoned(id.clone()));
-                    self.tidy(&id);
+                    self.withdraw(&id);
                 }
             }
             Input::Ended { id, attempt, ended } => self.ended(id, attempt, ended),
@@ -196,7 +201,7 @@
         for (host, entry) in listing.hosts.iter().zip(entries.iter()) {
             match entry.availability {
                 Availability::Gone => self.upstream.forget(&entry.id),
-                state => self.upstream.learn(&entry.id, host.dial(), state == Availability::Ready),
+                _ => self.upstream.learn(entry, host.dial()),
             }
         }
         let count = |wanted| entries.iter().filter(|entry| entry.availability == wanted).count();
@@ -227,6 +232,7 @@
             at: taken.at,
             aim: taken.aim,
             answer: Some(taken.answer),
+            over: taken.over,
             until,
             attempts: Vec::new(),
         };
@@ -286,6 +292,22 @@
         }));
     }
 
+    /// Takes back what is on its way for a request that is over and has not begun. What has begun goes on: it may run,
+    /// and what it comes to tells of its server.
+    fn withdraw(&mut self, id: &RequestId) {
+        let Some(open) = self.open.get(id) else { return };
+        let waits = |(n, sent): (usize, &Sent)| {
+            let task = sent.task.as_ref().filter(|_| !sent.begun.get())?;
+            task.abort();
+            Some(n as u32)
+        };
+        let withdrawn: Vec<_> = open.attempts.iter().enumerate().filter_map(waits).collect();
+        for attempt in withdrawn {
+            self.ended(id.clone(), attempt, Ended::without_answer(Status::Ignored));
+        }
+        self.tidy(id);
+    }
+
     /// Drops a request that has its answer and no attempt out.
     fn tidy(&mut self, id: &RequestId) {
         let over =
@@ -311,8 +333,8 @@
     fn guard(&mut self, id: RequestId) {
         let Some(open) = self.open.get_mut(&id).filter(|open| open.answer.is_some()) else { return };
         reply(open, Answer::Failed);
-        self.tidy(&id);
-        self.due.push_back(Event::Abandoned(id));
+        self.due.push_back(Event::Abandoned(id.clone()));
+        self.withdraw(&id);
     }
 
     fn handle_due(&mut self) {
@@ -355,26 +377,23 @@
         let (at, attempt) = (Instant::now(), open.attempts.len() as u32);
         let until = open.until.min(at + timeout);
         let by = begin_within.map_or(until, |within| until.min(at + within));
+        let begun = Rc::default();
+        let start = Start { over: open.over.clone(), by, begun: Rc::clone(&begun) };
         let (upstream, events) = (self.upstream.clone(), self.events.clone());
-        let (message, over) = (open.message.clone(), open.answer.is_none());
-        let target = server.clone();
+        let (message, target) = (open.message.clone(), server.clone());
         let task = tokio::task::spawn_local(async move {
-            // The request was over when the module sent it: nothing more goes out for it.
-            let ended = match over {
-                true => Ended::without_answer(Status::Ignored),
-                false => upstream.attempt(&target, &message, until, by).await,
-            };
+            let ended = upstream.attempt(&target, &message, until, &start).await;
             // The driver only goes when the node does.
             let _ = events.send(Input::Ended { id, attempt, ended });
         });
         open.span.in_scope(|| debug!(target: "request", attempt, %server, "sent"));
-        open.attempts.push(Sent { server, at, task: Some(task.abort_handle()), end: None });
+        open.attempts.push(Sent { server, at, begun, task: Some(task.abort_handle()), end: None });
     }
 
     fn finish(&mut self, id: &RequestId, answer: Answer) {
         if let Some(open) = self.open.get_mut(id) {
             reply(open, answer);
-            self.tidy(id);
+            self.withdraw(id);
         }
     }
 }
@@ -411,6 +430,7 @@
 
 fn reply(open: &mut Open, answer: Answer) {
     if let Some(sender) = open.answer.take() {
+        open.over.set(true);
         let end = match answer {
             Answer::Served(_) if open.at.elapsed() <= open.aim => None,
             Answer::Served(_) => Some("served late"),
--- a/src/net/driver/tests.rs
+++ b/src/net/driver/tests.rs
@@ -63,6 +63,7 @@
             write: false,
             client_retry: false,
             message,
+            over: Rc::default(),
             answer,
         }))));
         self.driver.handle_due();
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,6 +1,7 @@
 //! The clients' side: reads requests, hands them to the driver, writes the answers, sees clients leave.
 
 use crate::net::lifecycle::{Pulse, Stage};
+use crate::net::read_ahead::{Held, ReadAhead};
 use crate::net::upstream::{Message, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
 use crate::net::watched::{Watch, Watched};
 use bytes::Bytes;
@@ -15,12 +16,14 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::hash::{DefaultHasher, Hasher};
 use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 use std::str::FromStr;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
@@ -38,6 +41,8 @@
 /// A peer owes its first request whole within this time of connecting, and each further body within it of its
 /// head: one that sends less, or nothing, is due an error or a close within 3 s.
 const WHOLE_REQUEST: Duration = Duration::from_millis(2_500);
+/// The most that hyper holds of what a client has sent: a flood of heads must not fill the memory.
+const READ_MOST: usize = 16 << 10;
 /// After a failed accept (no descriptor left, say) the next one waits: tried at once, it would fail and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -62,6 +67,8 @@
     pub write: bool,
     pub client_retry: bool,
     pub message: Message,
+    /// Set once the client has left, or has its final answer: nothing more begins for it.
+    pub over: Rc<Cell<bool>>,
     pub answer: oneshot::Sender<Answer>,
 }
 
@@ -304,22 +311,30 @@
 async fn connection(stream: impl AsyncRead + AsyncWrite + Unpin + 'static, front: Rc<Front>) {
     let (mut stage, mut end) = (front.stage.clone(), front.stage.clone());
     let place = Rc::new(Place::new(front.clone()));
+    let mut http = http1::Builder::new();
+    http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(READ_MOST);
+    let (stream, held) = ReadAhead::new(stream);
     let service = service_fn(async |request| {
         let whole_by = place.head();
-        let response = respond(&front, request, &place, whole_by).await;
+        let last = asks_to_close(&request);
+        let mut response = respond(&front, request, &place, whole_by).await;
+        let closing = place.closing.get() || *front.stage.borrow() >= Stage::Closing;
+        if closing || last || held.overrun() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            held.linger();
+        }
         place.enter();
         Ok::<_, Infallible>(response)
     });
-    let mut http = http1::Builder::new();
-    http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
     let heard = Watched { stream, watch: place.clone() };
     let mut serving = pin!(http.serve_connection(TokioIo::new(heard), service));
-    let mut silence = pin!(place.silence());
+    let (mut silence, mut left) = (pin!(place.silence()), pin!(left(&place, &held)));
     // An error here is a client that left or spoke no HTTP: hyper has answered what can be answered.
     let stopping = tokio::select! {
         biased;
         _ = &mut serving => return,
         () = &mut silence => return,
+        () = &mut left => return,
         _ = stage.wait_for(|stage| *stage >= Stage::Closing) => true,
         () = place.close.notified() => false,
     };
@@ -341,38 +356,57 @@
         biased;
         _ = &mut serving => return,
         () = &mut silence => return,
+        () = &mut left => return,
         _ = end.wait_for(|stage| *stage == Stage::Gone) => {}
     }
     // Whoever is owed an answer gets it: late is better than never, for a node as late as that.
     if place.doing.get() == Doing::Answering {
-        let _ = serving.await;
+        tokio::select! {
+            biased;
+            _ = &mut serving => {}
+            () = &mut left => {}
+        }
     }
 }
 
+/// Ends once the client of a request that is being answered has gone. hyper itself sees that only where nothing has
+/// come behind the request.
+async fn left<S: AsyncRead + AsyncWrite + Unpin>(place: &Place, held: &Held<S>) {
+    poll_fn(|cx| match place.doing.get() {
+        Doing::Answering => held.poll_left(cx),
+        Doing::Resting | Doing::Reading => Poll::Pending,
+    })
+    .await;
+}
+
 /// Tells the driver of a client that left: hyper drops the answer's future with its connection.
 struct Waiting {
     ticket: u64,
     tell: Tell,
+    over: Rc<Cell<bool>>,
     answered: bool,
 }
 
 impl Drop for Waiting {
     fn drop(&mut self) {
         if !self.answered {
+            self.over.set(true);
             (self.tell)(Word::Left(self.ticket));
         }
     }
 }
 
 async fn respond(front: &Front, request: Request<Incoming>, place: &Place, whole_by: Instant) -> Reply {
-    let mut response = answer(front, request, place, whole_by).await.unwrap_or_else(|rejected| rejected);
+    let response = answer(front, request, place, whole_by).await.unwrap_or_else(|rejected| rejected);
     front.answered.set(Some(Instant::now()));
-    if place.closing.get() || *front.stage.borrow() >= Stage::Closing {
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    }
     response
 }
 
+fn asks_to_close(request: &Request<Incoming>) -> bool {
+    let asked = request.headers().get(CONNECTION).and_then(|value| value.to_str().ok());
+    asked.is_some_and(|asked| asked.split(',').any(|word| word.trim().eq_ignore_ascii_case("close")))
+}
+
 type Reply = Response<Full<Bytes>>;
 
 async fn answer(
@@ -491,6 +525,7 @@
 ) -> Reply {
     let ticket = front.tickets.replace(front.tickets.get() + 1);
     let (sender, receiver) = oneshot::channel();
+    let over = Rc::new(Cell::new(false));
     let (kind, aim) = front.classes[asked.class.0].clone();
     let taken = Taken {
         ticket,
@@ -506,9 +541,10 @@
         write: method == Method::PUT,
         client_retry: asked.client_retry,
         message: Message { method, target, id: asked.id, idempotency_key: asked.idempotency_key, body },
+        over: over.clone(),
         answer: sender,
     };
-    let mut waiting = Waiting { ticket, tell: front.tell.clone(), answered: false };
+    let mut waiting = Waiting { ticket, tell: front.tell.clone(), over, answered: false };
     (front.tell)(Word::Taken(Box::new(taken)));
     // Whoever answers only goes when the node does; its silence is a failure all the same.
     let answer = receiver.await.unwrap_or(Answer::Failed);
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -19,7 +19,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 use walkpick::wire::read_load;
-use walkpick::{LoadReport, Note, ServerId, Status};
+use walkpick::{Availability, LoadReport, Note, ServerEntry, ServerId, Status};
 
 /// The largest body of a message either way.
 pub const LARGEST_BODY: usize = 64 << 10;
@@ -70,6 +70,26 @@
     }
 }
 
+/// Whether an attempt may begin: looked at right before its first byte, whatever went on while its connection came up.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// The request is over: its client has left, or has its final answer.
+    pub over: Rc<Cell<bool>>,
+    /// From here on a repeat may run twice, or nobody waits.
+    pub by: Instant,
+    /// The attempt has begun: what it comes to is the server's to say.
+    pub begun: Rc<Cell<bool>>,
+}
+
+impl Start {
+    /// Begins the attempt, if it may.
+    fn begin(&self) -> bool {
+        let may = !self.over.get() && Instant::now() < self.by;
+        self.begun.set(may);
+        may
+    }
+}
+
 /// Whether a request has left this machine's hands whole.
 #[derive(Debug, Default)]
 struct Written {
@@ -190,9 +210,10 @@
     }
 
     /// Takes in what discovery says of a server.
-    pub fn learn(&self, server: &ServerId, dial: Option<SocketAddr>, takes_work: bool) {
+    pub fn learn(&self, entry: &ServerEntry, dial: Option<SocketAddr>) {
+        let takes_work = entry.availability == Availability::Ready;
         let mut peers = self.peers.borrow_mut();
-        if let Some(peer) = peers.get(server) {
+        if let Some(peer) = peers.get(&entry.id) {
             let moved = dial.is_some_and(|dial| peer.dial.replace(dial) != dial);
             peer.takes_work.set(takes_work);
             if moved || !takes_work {
@@ -200,7 +221,8 @@
             }
         } else if let Some(dial) = dial {
             let (dial, takes_work) = (Cell::new(dial), Cell::new(takes_work));
-            peers.insert(server.clone(), Rc::new(Peer { dial, takes_work, idle: RefCell::default() }));
+            let idle = RefCell::default();
+            peers.insert(entry.id.clone(), Rc::new(Peer { dial, takes_work, idle }));
         }
     }
 
@@ -240,18 +262,31 @@
         !connection.sender.is_closed() && idle < self.idle_limit && self.wear.share(idle, now) <= WORN
     }
 
-    /// One attempt, until its answer is whole, its connection breaks or `until` comes. It begins before `by` or not at
-    /// all: later, a repeat may run twice.
-    pub async fn attempt(&self, server: &ServerId, message: &Message, until: Instant, by: Instant) -> Ended {
+    /// One attempt, until its answer is whole, its connection breaks or `until` comes. One that may not begin when
+    /// its connection is there is not sent: the news may have come, or the client have left, meanwhile.
+    pub async fn attempt(
+        &self,
+        server: &ServerId,
+        message: &Message,
+        until: Instant,
+        start: &Start,
+    ) -> Ended {
         let peer = self.peers.borrow().get(server).cloned();
-        let Some(peer) = peer else { return Ended::without_answer(Status::ConnectError) };
-        let connected = timeout_at(until.min(by), self.connection(&peer)).await;
-        let Ok(Ok((mut connection, idle))) = connected else {
-            return Ended::without_answer(Status::ConnectError);
+        let Some(peer) = peer else { return Ended::without_answer(Status::Ignored) };
+        let (mut connection, idle) = match timeout_at(until.min(start.by), self.connection(&peer)).await {
+            Ok(Ok(connected)) => connected,
+            // No server's fault: all places for connections are taken by attempts that are out.
+            Ok(Err(error)) if error.kind() == io::ErrorKind::QuotaExceeded => {
+                return Ended::without_answer(Status::Ignored)
+            }
+            _ => return Ended::without_answer(Status::ConnectError),
         };
-        // The news may have come while the connection was being made: nothing new after a drain.
-        if !peer.takes_work.get() || Instant::now() >= by {
-            return Ended::without_answer(Status::ConnectError);
+        if !peer.takes_work.get() {
+            return Ended::without_answer(Status::Ignored);
+        }
+        if !start.begin() {
+            self.keep(&peer, connection);
+            return Ended::without_answer(Status::Ignored);
         }
         let Ok(request) = request(&peer, message, until) else {
             return Ended::without_answer(Status::ConnectError);
@@ -264,9 +299,8 @@
         }
         match answer {
             Ok(Ok((ended, reusable))) => {
-                if reusable && peer.takes_work.get() && !connection.sender.is_closed() {
-                    connection.kept = Instant::now();
-                    peer.idle.borrow_mut().push(connection);
+                if reusable && peer.takes_work.get() {
+                    self.keep(&peer, connection);
                 }
                 ended
             }
@@ -276,6 +310,13 @@
         }
     }
 
+    fn keep(&self, peer: &Peer, mut connection: Connection) {
+        if !connection.sender.is_closed() {
+            connection.kept = Instant::now();
+            peer.idle.borrow_mut().push(connection);
+        }
+    }
+
     /// A connection, and for how long it has stood idle if it is a kept one.
     async fn connection(&self, peer: &Peer) -> io::Result<(Connection, Option<Duration>)> {
         loop {
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -6,8 +6,8 @@
 use crate::api::{Action, Request, Timestamp};
 use std::time::Duration;
 
-/// Share of a cold server's stated multiple that is used: half a span's sends may be in hand when one begins, and
-/// with those that the span brings they stay within what is borne, chance left aside.
+/// Share of a cold server's stated multiple that is used: half a span's sends may be in hand when one begins,
+/// and with those that the span brings they stay within what is borne, chance left aside.
 const COLD_PART: f64 = 0.65;
 /// An answer is late past this share of its aim, from a server at least this busy.
 pub(super) const AIM_SHARE: f64 = 0.7;
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -24,6 +24,9 @@
     /// When no answer to it is a failure, and whether that was counted.
     pub(super) overdue: Timestamp,
     pub(super) counted: bool,
+    /// What it paid into the retry budget (less than zero where it took from it), and what room it used.
+    pub(super) paid: f64,
+    pub(super) work: f64,
 }
 
 #[derive(Debug)]
@@ -59,6 +62,7 @@
         let Some(mut held) = self.held.remove(&outcome.id) else { return };
         let Some(attempt) = held.attempts.get_mut(outcome.attempt as usize) else { return self.keep(held) };
         attempt.status = Some(outcome.status);
+        let unsent = (outcome.status == Status::Ignored).then_some((attempt.paid, attempt.work));
         let fetched = outcome.note == Some(Note::Miss) && self.settings.mode == CacheMode::Through;
         let epochs = attempt.epochs;
         self.judge_fetches(now, &held, outcome, epochs.2, actions);
@@ -114,6 +118,7 @@
             self.weigh(i, now, Signs { answered, in_time, jammed, known, spare, unqueued });
             let server = &mut self.servers[i];
             server.in_flight = server.in_flight.saturating_sub(1);
+            server.room += unsent.map_or(0.0, |(_, work)| work);
             // A handshake costs the server work, an idle connection only its place. Where the connections of
             // all nodes would fill its table, one that is used too seldom gives its place up.
             let part = SERVER_CONNECTIONS / f64::from(self.settings.nodes.max(1));
@@ -125,6 +130,7 @@
             }
             self.judge(i, epoch, ok, now, actions);
         }
+        self.retry_budget -= unsent.map_or(0.0, |(paid, _)| paid);
         held.done |= outcome.finished;
         self.decide(now, held, actions);
     }
@@ -137,7 +143,9 @@
             return;
         }
         // Asking the origin after a miss is the ordinary way on, any other attempt a retry on a budget.
-        let retry = held.attempts.last().filter(|a| a.status != Some(Status::Miss));
+        // What was not sent is not repeated.
+        let last = held.attempts.iter().rfind(|a| a.status != Some(Status::Ignored));
+        let retry = last.filter(|a| a.status != Some(Status::Miss));
         let cost = retry.map_or(0.0, |last| self.retry_cost(now, &held.request, last));
         let barred = self.retry_budget < cost;
         let failed = retry.is_some_and(|last| last.status == Some(Status::Failed));
@@ -163,8 +171,9 @@
             return self.end(now, held, actions);
         };
         let paid = if retry.is_some() { -cost } else { RETRY_SHARE };
-        self.retry_budget = (self.retry_budget + paid).min(RETRY_SAVED);
-        self.send(now, held, i, kept, failed, actions);
+        let paid = paid.min(RETRY_SAVED - self.retry_budget);
+        self.retry_budget += paid;
+        self.send(now, held, i, (kept, failed), paid, actions);
     }
 
     fn send(
@@ -172,8 +181,8 @@
         now: Timestamp,
         mut held: Held,
         i: usize,
-        kept: bool,
-        failed: bool,
+        (kept, failed): (bool, bool),
+        paid: f64,
         actions: &mut Vec<Action>,
     ) {
         let work = self.in_mean_work(&held.request).min(self.servers[i].room);
@@ -197,9 +206,10 @@
         if overdue < held.request.valid_until {
             self.due.insert((overdue, held.request.id.clone()));
         }
-        held.attempts.push(Attempt { entry, sent: now, epochs, status: None, overdue, counted: false });
         let until = self.repeatable_until(&held);
         let begin_within = (until < held.request.valid_until).then(|| until.since(now));
+        let (status, counted) = (None, false);
+        held.attempts.push(Attempt { entry, sent: now, epochs, status, overdue, counted, paid, work });
         let timeout = held.request.valid_until.since(now);
         let (id, server) = (held.request.id.clone(), self.servers[i].entry.id.clone());
         actions.push(Action::Send { id, server, timeout, begin_within });
--- a/src/policy/retries.rs
+++ b/src/policy/retries.rs
@@ -20,8 +20,8 @@
         (now.since(last.sent).as_secs_f64() / usual).clamp(RETRY_LEAST, 1.0)
     }
 
-    /// Until when rule 2 lets the request begin once more, here or by its client: past the window in which servers
-    /// drop repeats, `keyed` counts as `unsafe`.
+    /// Until when rule 2 lets the request begin once more, here or by its client: past the window in which
+    /// servers drop repeats, `keyed` counts as `unsafe`.
     pub(super) fn repeatable_until(&self, held: &Held) -> Timestamp {
         let until = |earlier: &Attempt| match self.class(&held.request).effect {
             Effect::Safe => Timestamp::MAX,
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -49,7 +49,7 @@
     let born = start + Duration::from_secs(if fresh { 0 } else { 4 });
     let told: Vec<_> = (0..count).map(|_| born + late.mul_f64(rng.f64())).collect();
     nodes.iter_mut().for_each(|node| node.full_list(list(fresh.then_some(born))));
-    let weight = |i: usize| if uneven && i % 10 == 0 { 10.0 } else { 1.0 };
+    let weight = |i: usize| if uneven && i.is_multiple_of(10) { 10.0 } else { 1.0 };
     let weights: Vec<f64> = (0..count).map(weight).collect();
     let total: f64 = weights.iter().sum();
     let rate = load * CAPACITY * f64::from(SERVERS);
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -341,3 +341,27 @@
     let asked = (300..320).filter(|&key| ask(&mut node, key, Status::Ok, Some(Note::Miss))).count();
     assert!(asked >= 15, "{asked} of 20 were sent once it was rested");
 }
+
+/// An attempt that was not sent (its client had left, or the server was told to drain, while its connection came up)
+/// is no failure of its server, no use of the retry budget and no retry.
+#[test]
+fn what_was_not_sent_costs_nothing_and_tells_nothing() {
+    let mut node = Node::with_servers(settings(), 8);
+    for key in 0..200 {
+        let id = node.request(0, key, ms(400));
+        node.answer(&id, Status::Ignored);
+        assert!(node.out(&id).is_some(), "sent on to another server");
+        node.answer(&id, Status::Ok);
+    }
+    let tripped = |action: &Action| matches!(action, Action::Log(text) if text.contains("breaker"));
+    assert!(!node.trace.iter().any(tripped), "no breaker tripped");
+    // Twice as many tries again as are saved up, each of them withdrawn: the budget has lost nothing by it.
+    for key in 0..20 {
+        let id = node.request(0, key, ms(400));
+        node.answer(&id, Status::Reset);
+        assert!(node.out(&id).is_some(), "tried again: {key}");
+        node.feed(Event::Abandoned(id.clone()));
+        node.answer(&id, Status::Ignored);
+        node.requests.clear();
+    }
+}
