Connections to a server that started anew are closed when discovery tells of it

Cause: Upstream::learn closed kept connections where a server moved or left, and not where it restarted under its id and address (born_ms): they lead to a process that is gone, and a request that must not run twice is lost on one.

Change: a changed start closes what is kept. Measured: the test failed before (no new connection within 60 s) and passes.

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -19,7 +19,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 use walkpick::wire::read_load;
-use walkpick::{Availability, LoadReport, Note, ServerEntry, ServerId, Status};
+use walkpick::{Availability, LoadReport, Note, ServerEntry, ServerId, Status, Timestamp};
 
 /// The largest body of a message either way.
 pub const LARGEST_BODY: usize = 64 << 10;
@@ -173,6 +173,8 @@
 struct Peer {
     dial: Cell<SocketAddr>,
     takes_work: Cell<bool>,
+    /// When its process started, as far as discovery told: what was connected to an earlier one is dead.
+    started: Cell<Option<Timestamp>>,
     /// The one used last stands last.
     idle: RefCell<Vec<Connection>>,
 }
@@ -215,14 +217,16 @@
         let mut peers = self.peers.borrow_mut();
         if let Some(peer) = peers.get(&entry.id) {
             let moved = dial.is_some_and(|dial| peer.dial.replace(dial) != dial);
+            let restarted = peer.started.replace(entry.started) != entry.started;
             peer.takes_work.set(takes_work);
-            if moved || !takes_work {
+            if moved || restarted || !takes_work {
                 peer.idle.borrow_mut().clear();
             }
         } else if let Some(dial) = dial {
-            let (dial, takes_work) = (Cell::new(dial), Cell::new(takes_work));
+            let (dial, takes_work, started) =
+                (Cell::new(dial), Cell::new(takes_work), Cell::new(entry.started));
             let idle = RefCell::default();
-            peers.insert(entry.id.clone(), Rc::new(Peer { dial, takes_work, idle }));
+            peers.insert(entry.id.clone(), Rc::new(Peer { dial, takes_work, started, idle }));
         }
     }
 
--- a/tests/node_crossings.rs
+++ b/tests/node_crossings.rs
@@ -182,6 +182,32 @@
     stage.expect_only(6);
 }
 
+// Guards against a request that goes out on a connection to a process that has been replaced under its server's id.
+#[test]
+fn connections_to_a_server_that_started_anew_are_not_used_again() {
+    let server = Scripted::bind();
+    let mut entry = server.entry("s-1", "ready");
+    let discovery = Discovery::start(std::slice::from_ref(&entry));
+    let node = Node::ready(&config(discovery.address));
+    let mut client = node.client();
+    client.send(&read("once", 5, 20_000));
+    let mut old = server.accept();
+    assert_eq!(old.hear_id().as_deref(), Some("5"));
+    old.serve("old");
+    assert_eq!(client.answer().expect("an answer").body, b"old");
+    entry["born_ms"] = 1_700_000_000_000_u64.into();
+    // A connection rests for 20 ms after its answer: from then on it would be used again.
+    std::thread::sleep(Duration::from_millis(40));
+    discovery.tell(false, &[entry]);
+    discovery.wait_until_told(2);
+    client.send(&read("once", 6, 20_000));
+    let mut new = server.accept();
+    assert_eq!(new.hear_id().as_deref(), Some("6"));
+    new.serve("new");
+    assert_eq!(client.answer().expect("an answer").body, b"new");
+    assert_eq!(old.hear(), None, "the old connection was closed");
+}
+
 // Guards against a send that a drain overtakes while its connection comes up, and against one that then counts as
 // the server's failure: the request has its other server at once.
 #[test]
