A node that lost all its peers remembers 1,024 addresses to try

Need: no cap under 1,024 on lists of nodes; src/peers/mod.rs kept 64 (REMEMBERED).

Change: the constant. Measured: the peers' tests pass; an address takes 32 bytes, 32 KiB at the most.

--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -56,7 +56,7 @@
 /// Views that differ for longer are split.
 const SPLIT_AFTER: Micros = 10_000_000;
 /// Addresses that are tried when nobody is left, beside the seeds.
-const REMEMBERED: usize = 64;
+const REMEMBERED: usize = 1_024;
 /// Farewells that are remembered.
 const FAREWELLS: usize = 1_024;
 /// Waits before seeds are asked again: the first, doubled up to the most.
