Names: connection pool, token bucket, in flight, idle, cancel; no behaviour changes

Need: standard terms of the field where our words hid them.

Change: Peer of the connections to servers is Pool (a peer is another node); a server's room is its tokens, make_room refill, takes_more has_tokens; Open is InFlight, withdraw cancel_unsent; Doing::Resting is Phase::Idle, Idle IdleConnections. Nothing on the wire, in configuration or in commands is renamed.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -64,7 +64,7 @@
     }
 }
 
-struct Open {
+struct InFlight {
     span: Span,
     message: Rc<Message>,
     kind: Name,
@@ -103,7 +103,7 @@
     follow: Rc<Notify>,
     ready: Rc<Cell<bool>>,
     events: UnboundedSender<Input>,
-    open: HashMap<RequestId, Open>,
+    in_flight: HashMap<RequestId, InFlight>,
     /// When the node stops: by when the last answer is due.
     answer_by: Option<Instant>,
     timers: BinaryHeap<Reverse<(Instant, Timer)>>,
@@ -126,7 +126,7 @@
             follow,
             ready,
             events,
-            open: HashMap::new(),
+            in_flight: HashMap::new(),
             answer_by: None,
             timers: BinaryHeap::new(),
             due: VecDeque::new(),
@@ -170,12 +170,12 @@
             Input::Client(Word::Taken(taken)) => self.request(*taken),
             Input::Client(Word::Left(ticket)) => {
                 let id = request_id(ticket);
-                if let Some(open) = self.open.get_mut(&id).filter(|open| open.answer.is_some()) {
+                if let Some(open) = self.in_flight.get_mut(&id).filter(|open| open.answer.is_some()) {
                     open.answer = None;
                     open.over.set(true);
                     open.tell("left");
                     self.due.push_back(Event::Abandoned(id.clone()));
-                    self.withdraw(&id);
+                    self.cancel_unsent(&id);
                 }
             }
             Input::Ended { id, attempt, ended } => self.ended(id, attempt, ended),
@@ -225,7 +225,7 @@
         // A node that is behind is behind with its answers, too: they are due that much sooner.
         let until = bound(taken.at + taken.patience.saturating_sub(MARGIN + taken.behind), self.answer_by);
         let client_id = taken.message.id.to_str().unwrap_or("?");
-        let open = Open {
+        let open = InFlight {
             span: debug_span!(target: "request", "request", id = client_id, ticket = taken.ticket),
             message: Rc::new(taken.message),
             kind: taken.kind,
@@ -236,7 +236,7 @@
             until,
             attempts: Vec::new(),
         };
-        self.open.insert(id.clone(), open);
+        self.in_flight.insert(id.clone(), open);
         self.timers.push(Reverse((until + GUARD, Timer::Guard(id.clone()))));
         self.due.push_back(Event::Request(Request {
             id,
@@ -253,7 +253,7 @@
     /// Whatever is out when the node is told to stop is held to its end as well.
     fn stop(&mut self, answer_by: Instant) {
         self.answer_by = Some(answer_by);
-        for (id, open) in self.open.iter_mut().filter(|(_, open)| open.answer.is_some()) {
+        for (id, open) in self.in_flight.iter_mut().filter(|(_, open)| open.answer.is_some()) {
             let until = bound(open.until, self.answer_by);
             if until < open.until {
                 open.until = until;
@@ -263,7 +263,7 @@
     }
 
     fn ended(&mut self, id: RequestId, attempt: u32, ended: Ended) {
-        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(open) = self.in_flight.get_mut(&id) else { return };
         // One that was cancelled meanwhile has ended already.
         let Some(sent) = open.attempts.get_mut(attempt as usize).filter(|sent| sent.task.is_some()) else {
             return;
@@ -294,15 +294,15 @@
 
     /// Takes back what is on its way for a request that is over and has not begun. What has begun goes on: it may run,
     /// and what it comes to tells of its server.
-    fn withdraw(&mut self, id: &RequestId) {
-        let Some(open) = self.open.get(id) else { return };
+    fn cancel_unsent(&mut self, id: &RequestId) {
+        let Some(open) = self.in_flight.get(id) else { return };
         let waits = |(n, sent): (usize, &Sent)| {
             let task = sent.task.as_ref().filter(|_| !sent.begun.get())?;
             task.abort();
             Some(n as u32)
         };
-        let withdrawn: Vec<_> = open.attempts.iter().enumerate().filter_map(waits).collect();
-        for attempt in withdrawn {
+        let unsent: Vec<_> = open.attempts.iter().enumerate().filter_map(waits).collect();
+        for attempt in unsent {
             self.ended(id.clone(), attempt, Ended::without_answer(Status::Ignored));
         }
         self.tidy(id);
@@ -311,9 +311,9 @@
     /// Drops a request that has its answer and no attempt out.
     fn tidy(&mut self, id: &RequestId) {
         let over =
-            |open: &Open| open.answer.is_none() && open.attempts.iter().all(|sent| sent.task.is_none());
-        if self.open.get(id).is_some_and(over) {
-            self.open.remove(id);
+            |open: &InFlight| open.answer.is_none() && open.attempts.iter().all(|sent| sent.task.is_none());
+        if self.in_flight.get(id).is_some_and(over) {
+            self.in_flight.remove(id);
         }
     }
 
@@ -331,10 +331,10 @@
     /// A request that the module has left open until its time is all but over would be lost: it fails here,
     /// and the module learns that nothing is owed any more. What its attempts come to is still reported.
     fn guard(&mut self, id: RequestId) {
-        let Some(open) = self.open.get_mut(&id).filter(|open| open.answer.is_some()) else { return };
+        let Some(open) = self.in_flight.get_mut(&id).filter(|open| open.answer.is_some()) else { return };
         reply(open, Answer::Failed);
         self.due.push_back(Event::Abandoned(id.clone()));
-        self.withdraw(&id);
+        self.cancel_unsent(&id);
     }
 
     fn handle_due(&mut self) {
@@ -353,7 +353,7 @@
                 self.send(id, server, timeout, begin_within);
             }
             Action::Cancel { id, attempt } => {
-                let Some(open) = self.open.get_mut(&id) else { return };
+                let Some(open) = self.in_flight.get_mut(&id) else { return };
                 let task = open.attempts.get_mut(attempt as usize).and_then(|sent| sent.task.as_ref());
                 if let Some(task) = task {
                     // Its connection closes with it: a server's answer to it would meet the next request.
@@ -373,7 +373,7 @@
     }
 
     fn send(&mut self, id: RequestId, server: ServerId, timeout: Duration, begin_within: Option<Duration>) {
-        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(open) = self.in_flight.get_mut(&id) else { return };
         let (at, attempt) = (Instant::now(), open.attempts.len() as u32);
         let until = open.until.min(at + timeout);
         let by = begin_within.map_or(until, |within| until.min(at + within));
@@ -391,14 +391,14 @@
     }
 
     fn finish(&mut self, id: &RequestId, answer: Answer) {
-        if let Some(open) = self.open.get_mut(id) {
+        if let Some(open) = self.in_flight.get_mut(id) {
             reply(open, answer);
-            self.withdraw(id);
+            self.cancel_unsent(id);
         }
     }
 }
 
-impl Open {
+impl InFlight {
     /// One line that tells what became of the request: with the log of each node on its way, and no trace of the
     /// sockets, it can be followed by its id.
     fn tell(&self, end: &str) {
@@ -428,7 +428,7 @@
     }
 }
 
-fn reply(open: &mut Open, answer: Answer) {
+fn reply(open: &mut InFlight, answer: Answer) {
     if let Some(sender) = open.answer.take() {
         open.over.set(true);
         let end = match answer {
--- a/src/net/driver/tests.rs
+++ b/src/net/driver/tests.rs
@@ -71,7 +71,7 @@
     }
 
     fn end(&mut self, id: &RequestId, status: Status) {
-        let attempt = self.driver.open[id].attempts.len() as u32 - 1;
+        let attempt = self.driver.in_flight[id].attempts.len() as u32 - 1;
         let body = (status == Status::Ok).then(Bytes::new);
         let ended = Ended { status, note: None, load: LoadReport::default(), body };
         self.driver.take(Input::Ended { id: id.clone(), attempt, ended });
@@ -79,7 +79,7 @@
     }
 
     fn attempts(&self, id: &RequestId) -> usize {
-        self.driver.open[id].attempts.len()
+        self.driver.in_flight[id].attempts.len()
     }
 }
 
@@ -114,16 +114,19 @@
     assert_eq!(rig.attempts(&late.0), 1, "sent after the node was told");
     owed.extend([late.1]);
     owed.extend(waiting.into_iter().map(|(_, answer)| answer));
-    while !rig.driver.open.values().all(|open| open.answer.is_none()) {
+    while !rig.driver.in_flight.values().all(|open| open.answer.is_none()) {
         rig.driver.step(&mut rig.inputs).await;
     }
-    while !crowded.driver.open.values().all(|open| open.answer.is_none()) {
+    while !crowded.driver.in_flight.values().all(|open| open.answer.is_none()) {
         crowded.driver.step(&mut crowded.inputs).await;
     }
     assert!(Instant::now() <= end, "answered {:?} after the node was told", told.elapsed());
     assert!(owed.iter_mut().all(|answer| answer.try_recv().is_ok()), "each has its answer");
     let after = rig.ask(0);
-    assert!(!rig.driver.open.contains_key(&after.0), "what comes after the last moment is answered at once");
+    assert!(
+        !rig.driver.in_flight.contains_key(&after.0),
+        "what comes after the last moment is answered at once"
+    );
 }
 
 // Guards against an answer that is given in time by a node that is too late to write it.
@@ -155,11 +158,11 @@
                 for class in [0, 1] {
                     let mut rig = Rig::new(2);
                     let (id, mut answer) = rig.ask(class);
-                    let over = rig.driver.open[&id].over.clone();
+                    let over = rig.driver.in_flight[&id].over.clone();
                     for event in order {
                         match event {
                             0 => rig.driver.guard(id.clone()),
-                            1 if rig.driver.open.contains_key(&id) => rig.end(&id, Status::Ok),
+                            1 if rig.driver.in_flight.contains_key(&id) => rig.end(&id, Status::Ok),
                             1 => {}
                             _ => rig.driver.take(Input::Client(Word::Left(rig.tickets))),
                         }
@@ -168,7 +171,7 @@
                     rig.driver.handle_due();
                     let served = matches!(answer.try_recv(), Ok(Answer::Served(_)));
                     assert_eq!(served, order[0] == 1, "{order:?}");
-                    assert!(rig.driver.open.is_empty(), "{order:?}");
+                    assert!(rig.driver.in_flight.is_empty(), "{order:?}");
                     // What it held is given back: as many again find room.
                     let again = rig.ask(class).0;
                     assert_eq!(rig.attempts(&again), 1, "{order:?}");
@@ -187,10 +190,10 @@
             for begun in [false, true] {
                 let mut rig = Rig::new(2);
                 let (id, _answer) = rig.ask(1);
-                rig.driver.open[&id].attempts[0].begun.set(begun);
+                rig.driver.in_flight[&id].attempts[0].begun.set(begun);
                 rig.driver.take(Input::Client(Word::Left(rig.tickets)));
                 rig.driver.handle_due();
-                assert_eq!(rig.driver.open.contains_key(&id), begun);
+                assert_eq!(rig.driver.in_flight.contains_key(&id), begun);
             }
         })
         .await;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -106,19 +106,19 @@
     pub tickets: Cell<u64>,
     /// When the last answer was given.
     pub answered: Cell<Option<Instant>>,
-    idle: Idle,
+    idle: IdleConnections,
 }
 
 /// The connections with no request in them, the one that has stood so longest first.
 #[derive(Default)]
-struct Idle {
+struct IdleConnections {
     next: Cell<u64>,
     /// None was idle when room was needed: the next one that is gives way.
     wanted: Cell<bool>,
     waiting: RefCell<BTreeMap<u64, Rc<Notify>>>,
 }
 
-impl Idle {
+impl IdleConnections {
     /// Asks the oldest to close, in favour of one that waits unaccepted.
     fn make_room(&self) {
         match self.waiting.borrow_mut().pop_first() {
@@ -130,9 +130,9 @@
 
 /// What goes on in a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Doing {
+enum Phase {
     /// Nothing: it may be closed, and what its client is sending just then is sent anew elsewhere.
-    Resting,
+    Idle,
     /// A request has begun to come and is not whole.
     Reading,
     /// A whole request is in it, which is owed an answer.
@@ -147,7 +147,7 @@
     opened: Instant,
     /// Heads of requests that came on it.
     heads: Cell<u64>,
-    doing: Cell<Doing>,
+    phase: Cell<Phase>,
     /// It was told to close: the next answer is its last.
     closing: Cell<bool>,
 }
@@ -155,14 +155,14 @@
 impl Place {
     fn new(front: Rc<Front>) -> Self {
         let (close, number, heads, closing) = Default::default();
-        let (opened, doing) = (Instant::now(), Cell::new(Doing::Resting));
-        let place = Self { front, close, number, opened, heads, doing, closing };
+        let (opened, phase) = (Instant::now(), Cell::new(Phase::Idle));
+        let place = Self { front, close, number, opened, heads, phase, closing };
         place.enter();
         place
     }
 
     fn enter(&self) {
-        self.doing.set(Doing::Resting);
+        self.phase.set(Phase::Idle);
         let idle = &self.front.idle;
         if idle.wanted.take() {
             return self.close.notify_one();
@@ -181,8 +181,8 @@
 
     /// A request has begun to come, if none has before.
     fn begin(&self) {
-        if self.doing.get() == Doing::Resting {
-            self.doing.set(Doing::Reading);
+        if self.phase.get() == Phase::Idle {
+            self.phase.set(Phase::Reading);
             self.leave();
         }
     }
@@ -229,7 +229,7 @@
             tell,
             tickets: Cell::new(0),
             answered: Cell::default(),
-            idle: Idle::default(),
+            idle: IdleConnections::default(),
         }
     }
 }
@@ -295,7 +295,7 @@
 async fn accept(
     listener: &TcpListener,
     slots: &Arc<Semaphore>,
-    idle: &Idle,
+    idle: &IdleConnections,
 ) -> io::Result<(TcpStream, OwnedSemaphorePermit)> {
     if slots.available_permits() == 0 {
         // Clients keep the connections they have: left idle, they would keep all others out of a full table,
@@ -342,10 +342,10 @@
     // Of a request that has begun to come hyper would drop what it holds: it is read to its end, and its answer
     // sends the client away. At a stop one that has brought nothing yet is waited for as well: a client connects
     // in order to send, and the request may lie there unread.
-    let coming = match place.doing.get() {
-        Doing::Resting => stopping && place.heads.get() == 0,
-        Doing::Reading => true,
-        Doing::Answering => false,
+    let coming = match place.phase.get() {
+        Phase::Idle => stopping && place.heads.get() == 0,
+        Phase::Reading => true,
+        Phase::Answering => false,
     };
     if !coming {
         serving.as_mut().graceful_shutdown();
@@ -360,7 +360,7 @@
         _ = end.wait_for(|stage| *stage == Stage::Gone) => {}
     }
     // Whoever is owed an answer gets it: late is better than never, for a node as late as that.
-    if place.doing.get() == Doing::Answering {
+    if place.phase.get() == Phase::Answering {
         tokio::select! {
             biased;
             _ = &mut serving => {}
@@ -372,9 +372,9 @@
 /// Ends once the client of a request that is being answered has gone. hyper itself sees that only where nothing has
 /// come behind the request.
 async fn left<S: AsyncRead + AsyncWrite + Unpin>(place: &Place, held: &Held<S>) {
-    poll_fn(|cx| match place.doing.get() {
-        Doing::Answering => held.poll_left(cx),
-        Doing::Resting | Doing::Reading => Poll::Pending,
+    poll_fn(|cx| match place.phase.get() {
+        Phase::Answering => held.poll_left(cx),
+        Phase::Idle | Phase::Reading => Poll::Pending,
     })
     .await;
 }
@@ -449,7 +449,7 @@
         Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
         Ok(Err(_)) => return Err(plain(StatusCode::BAD_REQUEST, "the body broke off")),
     };
-    place.doing.set(Doing::Answering);
+    place.phase.set(Phase::Answering);
     Ok(hand_over(front, (at, behind), key, target, head.method, asked, body).await)
 }
 
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -169,8 +169,8 @@
     }
 }
 
-/// A cache server.
-struct Peer {
+/// The connection pool of a cache server.
+struct Pool {
     dial: Cell<SocketAddr>,
     takes_work: Cell<bool>,
     /// When its process started, as far as discovery told: what was connected to an earlier one is dead.
@@ -179,7 +179,7 @@
     idle: RefCell<Vec<Connection>>,
 }
 
-impl Peer {
+impl Pool {
     /// Of the kept connections that have rested, the one used last.
     fn rested(&self, now: Instant) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
@@ -188,9 +188,9 @@
     }
 }
 
-/// All cache servers, by id.
+/// The connection pools of all cache servers, by id.
 pub struct Upstream {
-    peers: RefCell<HashMap<ServerId, Rc<Peer>>>,
+    pools: RefCell<HashMap<ServerId, Rc<Pool>>>,
     open: Rc<Cell<usize>>,
     most: usize,
     connect_timeout: Duration,
@@ -202,7 +202,7 @@
     /// Keeps at most `most` connections.
     pub fn new(most: usize, connect_timeout: Duration, keepalive: Duration) -> Self {
         Self {
-            peers: RefCell::default(),
+            pools: RefCell::default(),
             open: Rc::default(),
             most,
             connect_timeout,
@@ -214,40 +214,40 @@
     /// Takes in what discovery says of a server.
     pub fn learn(&self, entry: &ServerEntry, dial: Option<SocketAddr>) {
         let takes_work = entry.availability == Availability::Ready;
-        let mut peers = self.peers.borrow_mut();
-        if let Some(peer) = peers.get(&entry.id) {
-            let moved = dial.is_some_and(|dial| peer.dial.replace(dial) != dial);
-            let restarted = peer.started.replace(entry.started) != entry.started;
-            peer.takes_work.set(takes_work);
+        let mut pools = self.pools.borrow_mut();
+        if let Some(pool) = pools.get(&entry.id) {
+            let moved = dial.is_some_and(|dial| pool.dial.replace(dial) != dial);
+            let restarted = pool.started.replace(entry.started) != entry.started;
+            pool.takes_work.set(takes_work);
             if moved || restarted || !takes_work {
-                peer.idle.borrow_mut().clear();
+                pool.idle.borrow_mut().clear();
             }
         } else if let Some(dial) = dial {
             let (dial, takes_work, started) =
                 (Cell::new(dial), Cell::new(takes_work), Cell::new(entry.started));
             let idle = RefCell::default();
-            peers.insert(entry.id.clone(), Rc::new(Peer { dial, takes_work, started, idle }));
+            pools.insert(entry.id.clone(), Rc::new(Pool { dial, takes_work, started, idle }));
         }
     }
 
     /// Forgets a server that is gone. An attempt on its way there sees that it takes no work any more.
     pub fn forget(&self, server: &ServerId) {
-        if let Some(peer) = self.peers.borrow_mut().remove(server) {
-            peer.takes_work.set(false);
-            peer.idle.borrow_mut().clear();
+        if let Some(pool) = self.pools.borrow_mut().remove(server) {
+            pool.takes_work.set(false);
+            pool.idle.borrow_mut().clear();
         }
     }
 
     /// Forgets all servers but those that `keep` names: a whole list lacks the others.
     pub fn retain(&self, keep: impl Fn(&ServerId) -> bool) {
-        let left: Vec<_> = self.peers.borrow().keys().filter(|id| !keep(id)).cloned().collect();
+        let left: Vec<_> = self.pools.borrow().keys().filter(|id| !keep(id)).cloned().collect();
         left.iter().for_each(|id| self.forget(id));
     }
 
     /// Closes the idle connections to a server.
     pub fn close_idle(&self, server: &ServerId) {
-        if let Some(peer) = self.peers.borrow().get(server) {
-            peer.idle.borrow_mut().clear();
+        if let Some(pool) = self.pools.borrow().get(server) {
+            pool.idle.borrow_mut().clear();
         }
     }
 
@@ -255,8 +255,8 @@
     pub async fn sweep(self: Rc<Self>) {
         loop {
             sleep(SWEEP).await;
-            for peer in self.peers.borrow().values() {
-                peer.idle.borrow_mut().retain(|kept| self.fresh(kept));
+            for pool in self.pools.borrow().values() {
+                pool.idle.borrow_mut().retain(|kept| self.fresh(kept));
             }
         }
     }
@@ -275,9 +275,9 @@
         until: Instant,
         start: &Start,
     ) -> Ended {
-        let peer = self.peers.borrow().get(server).cloned();
-        let Some(peer) = peer else { return Ended::without_answer(Status::Ignored) };
-        let (mut connection, idle) = match timeout_at(until.min(start.by), self.connection(&peer)).await {
+        let pool = self.pools.borrow().get(server).cloned();
+        let Some(pool) = pool else { return Ended::without_answer(Status::Ignored) };
+        let (mut connection, idle) = match timeout_at(until.min(start.by), self.connection(&pool)).await {
             Ok(Ok(connected)) => connected,
             // No server's fault: all places for connections are taken by attempts that are out.
             Ok(Err(error)) if error.kind() == io::ErrorKind::QuotaExceeded => {
@@ -285,14 +285,14 @@
             }
             _ => return Ended::without_answer(Status::ConnectError),
         };
-        if !peer.takes_work.get() {
+        if !pool.takes_work.get() {
             return Ended::without_answer(Status::Ignored);
         }
         if !start.begin() {
-            self.keep(&peer, connection);
+            self.keep(&pool, connection);
             return Ended::without_answer(Status::Ignored);
         }
-        let Ok(request) = request(&peer, message, until) else {
+        let Ok(request) = request(&pool, message, until) else {
             return Ended::without_answer(Status::ConnectError);
         };
         connection.written.reset();
@@ -303,8 +303,8 @@
         }
         match answer {
             Ok(Ok((ended, reusable))) => {
-                if reusable && peer.takes_work.get() {
-                    self.keep(&peer, connection);
+                if reusable && pool.takes_work.get() {
+                    self.keep(&pool, connection);
                 }
                 ended
             }
@@ -314,17 +314,17 @@
         }
     }
 
-    fn keep(&self, peer: &Peer, mut connection: Connection) {
+    fn keep(&self, pool: &Pool, mut connection: Connection) {
         if !connection.sender.is_closed() {
             connection.kept = Instant::now();
-            peer.idle.borrow_mut().push(connection);
+            pool.idle.borrow_mut().push(connection);
         }
     }
 
     /// A connection, and for how long it has stood idle if it is a kept one.
-    async fn connection(&self, peer: &Peer) -> io::Result<(Connection, Option<Duration>)> {
+    async fn connection(&self, pool: &Pool) -> io::Result<(Connection, Option<Duration>)> {
         loop {
-            let Some(mut kept) = peer.rested(Instant::now()) else { break };
+            let Some(mut kept) = pool.rested(Instant::now()) else { break };
             if self.fresh(&kept) && kept.sender.ready().await.is_ok() {
                 let idle = kept.kept.elapsed();
                 return Ok((kept, Some(idle)));
@@ -332,7 +332,7 @@
         }
         let slot = self.slot()?;
         let connecting = async {
-            let stream = TcpStream::connect(peer.dial.get()).await?;
+            let stream = TcpStream::connect(pool.dial.get()).await?;
             stream.set_nodelay(true)?;
             let written = Rc::new(Written::default());
             let watched = Watched { stream, watch: written.clone() };
@@ -353,11 +353,11 @@
     /// that met every server once must not be kept from the one it needs by connections that nobody uses.
     fn slot(&self) -> io::Result<Slot> {
         if self.open.get() >= self.most {
-            let peers = self.peers.borrow();
+            let pools = self.pools.borrow();
             let oldest =
-                peers.values().filter_map(|p| Some((p.idle.borrow().first()?.kept, p))).min_by_key(|o| o.0);
+                pools.values().filter_map(|p| Some((p.idle.borrow().first()?.kept, p))).min_by_key(|o| o.0);
             match oldest {
-                Some((_, peer)) => drop(peer.idle.borrow_mut().remove(0)),
+                Some((_, pool)) => drop(pool.idle.borrow_mut().remove(0)),
                 None => return Err(io::ErrorKind::QuotaExceeded.into()),
             }
         }
@@ -375,7 +375,7 @@
 }
 
 fn request(
-    peer: &Peer,
+    pool: &Pool,
     message: &Message,
     until: Instant,
 ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
@@ -383,7 +383,7 @@
     let mut request = Request::builder()
         .method(message.method.clone())
         .uri(Uri::from(message.target.clone()))
-        .header(HOST, peer.dial.get().to_string())
+        .header(HOST, pool.dial.get().to_string())
         .header(REQ_ID, message.id.clone())
         .header(REQ_DEADLINE, left);
     if let Some(key) = &message.idempotency_key {
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -1,4 +1,4 @@
-//! What is let in: in-flight limits, cold servers' room, and the part that a jammed fleet can still serve.
+//! What is let in: in-flight limits, cold servers' token buckets, and what a jammed fleet can still serve.
 
 use super::breaker::WINDOW;
 use super::servers::Server;
@@ -52,7 +52,7 @@
 impl Balancer {
     /// Pushed over by all nodes, a cold server never comes back: each node adds up, bit by bit, its part of
     /// what the server's size should get of the good answers seen here, until that makes a whole request.
-    pub(super) fn make_room(&mut self, now: Timestamp) {
+    pub(super) fn refill(&mut self, now: Timestamp) {
         let since = now.since(self.filled).as_secs_f64();
         self.filled = now;
         if !self.servers.iter().any(|server| self.is_cold(server, now)) {
@@ -65,7 +65,7 @@
         for i in 0..self.servers.len() {
             let pace = pace * self.capacity(&self.servers[i], now) / fleet;
             let most = (pace * self.settings.fall_span.as_secs_f64() / 2.0).max(1.0);
-            self.servers[i].room = (self.servers[i].room + pace * since).min(most);
+            self.servers[i].tokens = (self.servers[i].tokens + pace * since).min(most);
         }
     }
 
@@ -75,8 +75,8 @@
         known.map_or(1.0, |work| work.as_secs_f64() / self.usual_work.max(1e-9))
     }
 
-    pub(super) fn takes_more(&self, i: usize, request: &Request, now: Timestamp) -> bool {
-        !self.is_cold(&self.servers[i], now) || self.servers[i].room >= self.in_mean_work(request).max(1.0)
+    pub(super) fn has_tokens(&self, i: usize, request: &Request, now: Timestamp) -> bool {
+        !self.is_cold(&self.servers[i], now) || self.servers[i].tokens >= self.in_mean_work(request).max(1.0)
     }
 
     /// An answer to it that comes later is late: past a part of its aim, or for a heavy one past more of it.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -62,7 +62,7 @@
     counted: Timestamp,
     /// When the last list came.
     listed: Timestamp,
-    /// Up to when cold servers' room is added up.
+    /// Up to when cold servers' token buckets are filled.
     filled: Timestamp,
 }
 
@@ -112,7 +112,7 @@
     pub fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
         let faded = (-now.since(self.counted).as_secs_f64() / self.rate_span.as_secs_f64()).exp();
         (self.good, self.bad, self.counted) = (self.good * faded, self.bad * faded, now);
-        self.make_room(now);
+        self.refill(now);
         match event {
             Event::Nodes(nodes) => {
                 (self.settings.nodes, self.limit_start) = (nodes, limit_start(nodes));
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -37,7 +37,7 @@
                 && self.may_send(now, held, entry)
                 && self.servers[*i].breaker.admits(now)
                 && self.may_try(*i, now)
-                && self.takes_more(*i, &held.request, now)
+                && self.has_tokens(*i, &held.request, now)
                 && !held.attempts.iter().any(|a| a.entry.id == entry.id)
         };
         let room = |i: usize, share: f64| {
@@ -64,7 +64,7 @@
             return open.into_iter().enumerate().find(|&(n, i)| room(i, share(n))).map(|(_, i)| i);
         }
         // Every server is blocked: the key's own server then, rather than none.
-        (self.takes_more(own, &held.request, now) && held.attempts.is_empty() && room(own, 1.0))
+        (self.has_tokens(own, &held.request, now) && held.attempts.is_empty() && room(own, 1.0))
             .then_some(own)
     }
 
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -24,7 +24,7 @@
     /// When no answer to it is a failure, and whether that was counted.
     pub(super) overdue: Timestamp,
     pub(super) counted: bool,
-    /// What it paid into the retry budget (less than zero where it took from it), and what room it used.
+    /// What it paid into the retry budget (less than zero where it took from it), and what tokens it took.
     pub(super) paid: f64,
     pub(super) work: f64,
 }
@@ -118,7 +118,7 @@
             self.weigh(i, now, Signs { answered, in_time, jammed, known, spare, unqueued });
             let server = &mut self.servers[i];
             server.in_flight = server.in_flight.saturating_sub(1);
-            server.room += unsent.map_or(0.0, |(_, work)| work);
+            server.tokens += unsent.map_or(0.0, |(_, work)| work);
             // A handshake costs the server work, an idle connection only its place. Where the connections of
             // all nodes would fill its table, one that is used too seldom gives its place up.
             let part = SERVER_CONNECTIONS / f64::from(self.settings.nodes.max(1));
@@ -185,9 +185,9 @@
         paid: f64,
         actions: &mut Vec<Action>,
     ) {
-        let work = self.in_mean_work(&held.request).min(self.servers[i].room);
+        let work = self.in_mean_work(&held.request).min(self.servers[i].tokens);
         let server = &mut self.servers[i];
-        server.room -= work;
+        server.tokens -= work;
         server.in_flight += 1;
         (server.sent, server.gap) = (now, now.since(server.sent));
         if server.breaker.state != State::Closed {
--- a/src/policy/servers.rs
+++ b/src/policy/servers.rs
@@ -25,8 +25,8 @@
     pub(super) zone: usize,
     pub(super) hash: u64,
     pub(super) breaker: Breaker,
-    /// The sends that it may get from here while it is cold.
-    pub(super) room: f64,
+    /// Slow start: its token bucket while it is cold, the work that it may get from here, in usual requests.
+    pub(super) tokens: f64,
     pub(super) in_flight: u32,
     pub(super) limit: f64,
     /// When an answer last changed it.
@@ -76,7 +76,7 @@
                 Ok(i) => {
                     if entry.started != self.servers[i].entry.started {
                         self.servers[i].breaker.enter(State::Closed, now);
-                        self.servers[i].room = unit(mix(self.seed ^ self.servers[i].hash));
+                        self.servers[i].tokens = unit(mix(self.seed ^ self.servers[i].hash));
                         let zone = &mut self.zones[self.servers[i].zone];
                         (zone.shut, zone.calls) = (false, 0);
                     }
@@ -108,7 +108,7 @@
                     let (entry, breaker, gap) = (entry.clone(), Breaker::new(now), Duration::MAX);
                     let (in_flight, limit, calm, sent) = (0, self.limit_start, false, now);
                     // Not a whole send: many nodes would use it at once.
-                    let room = unit(mix(self.seed ^ hash));
+                    let tokens = unit(mix(self.seed ^ hash));
                     let limited = now;
                     let load = 0.0;
                     let fresh = Server {
@@ -118,7 +118,7 @@
                         zone,
                         hash,
                         breaker,
-                        room,
+                        tokens,
                         in_flight,
                         limit,
                         limited,
