--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -66,7 +66,7 @@
             let due = pace * self.settings.fall_span.as_secs_f64();
             let server = &mut self.servers[i];
             server.tokens = (server.tokens + pace * since).min((due / 2.0).max(1.0));
-            // Of N from all nodes, 2 x root of N + 2 are put down to chance: no request is half of that alone.
+            // Of N from all nodes, 2 x root of N + 2 are put down to chance: no request is half of that.
             server.heaviest = 1.0 + (due / COLD_PART * f64::from(self.settings.nodes.max(1))).sqrt();
         }
     }
