--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -52,10 +52,7 @@
 async fn close_at_half(by_stage: bool, cut: usize) {
     let taken = Rc::default();
     let (stages, front) = rig(&taken);
-    let (mut client, stream) = duplex(4096);
-    let serving = spawn_local(connection(stream, front.clone()));
-    client.write_all(WHOLE.as_bytes()).await.unwrap();
-    settle().await;
+    let (mut client, serving) = asked(&front).await;
     serve_last(&taken);
     assert!(heard(&mut client).await.ends_with("value"));
     client.write_all(&WHOLE.as_bytes()[..cut]).await.unwrap();
@@ -83,10 +80,7 @@
         .run_until(async {
             let taken = Rc::default();
             let (stages, front) = rig(&taken);
-            let (mut client, stream) = duplex(4096);
-            let serving = spawn_local(connection(stream, front));
-            client.write_all(WHOLE.as_bytes()).await.unwrap();
-            settle().await;
+            let (mut client, serving) = asked(&front).await;
             stages.send_replace(Stage::Closing);
             settle().await;
             stages.send_replace(Stage::Gone);
@@ -195,12 +189,18 @@
         .await;
 }
 
-/// A connection that was served once and rests.
-async fn resting(front: &Rc<Front>, taken: &Rc<RefCell<Vec<Taken>>>) -> (DuplexStream, JoinHandle<()>) {
+/// A connection whose request has been taken.
+async fn asked(front: &Rc<Front>) -> (DuplexStream, JoinHandle<()>) {
     let (mut client, stream) = duplex(4096);
     let serving = spawn_local(connection(stream, front.clone()));
     client.write_all(WHOLE.as_bytes()).await.unwrap();
     settle().await;
+    (client, serving)
+}
+
+/// A connection that was served once and rests.
+async fn resting(front: &Rc<Front>, taken: &Rc<RefCell<Vec<Taken>>>) -> (DuplexStream, JoinHandle<()>) {
+    let (mut client, serving) = asked(front).await;
     serve_last(taken);
     assert!(heard(&mut client).await.ends_with("value"));
     (client, serving)
@@ -252,10 +252,7 @@
         .run_until(async {
             let taken = Rc::default();
             let (stages, front) = rig(&taken);
-            let (mut client, stream) = duplex(4096);
-            let serving = spawn_local(connection(stream, front));
-            client.write_all(WHOLE.as_bytes()).await.unwrap();
-            settle().await;
+            let (mut client, serving) = asked(&front).await;
             stages.send_replace(Stage::Closing);
             settle().await;
             let answered = Instant::now();
