--- a/tests/node_common/script.rs
+++ b/tests/node_common/script.rs
@@ -18,11 +18,9 @@
 
     /// One that takes a single connection which nobody has accepted: further ones come up once that is.
     pub fn bind_full() -> (Self, TcpStream) {
-        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        let Reserved { address, socket } = Reserved::bind();
         socket.listen(0).unwrap();
-        let listener = TcpListener::from(socket);
-        let scripted = Self { address: listener.local_addr().unwrap(), listener };
+        let scripted = Self { address, listener: socket.into() };
         let filler = TcpStream::connect(scripted.address).unwrap();
         (scripted, filler)
     }
@@ -57,6 +55,26 @@
     }
 }
 
+/// An address that is kept and where nobody listens yet: whoever connects is refused.
+pub struct Reserved {
+    pub address: SocketAddr,
+    socket: socket2::Socket,
+}
+
+impl Reserved {
+    pub fn bind() -> Self {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        Self { address: socket.local_addr().unwrap().as_socket().unwrap(), socket }
+    }
+
+    /// From here on connections come up.
+    pub fn listen(self) -> TcpListener {
+        self.socket.listen(128).unwrap();
+        self.socket.into()
+    }
+}
+
 /// One connection of the node's.
 pub struct Scene(BufReader<TcpStream>);
 
--- a/tests/node_descriptors.rs
+++ b/tests/node_descriptors.rs
@@ -3,7 +3,6 @@
 mod node_common;
 
 use node_common::*;
-use std::net::TcpListener;
 use std::process::Command;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -44,9 +43,8 @@
 fn idle_clients_that_fill_the_descriptors_keep_nothing_from_working() {
     let (old, new) = (CacheServer::serving("old"), CacheServer::serving("new"));
     // Discovery is down: nobody listens there.
-    let away = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut config = quick_stop(away.local_addr().unwrap());
-    drop(away);
+    let down = script::Reserved::bind();
+    let mut config = quick_stop(down.address);
     config["limits"]["sockets"] = DESCRIPTORS.into();
     config["known"]["hosts"] = vec![old.entry("s-old", "ready")].into();
     config["walkpick"]["peers"]["listen"] = "127.0.0.1:0".into();
--- a/tests/node_discovery.rs
+++ b/tests/node_discovery.rs
@@ -184,14 +184,11 @@
 // Guards against an outage in which nobody listens, and a node that has backed off too far when it is over.
 #[test]
 fn a_change_is_acted_on_in_time_after_an_outage() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
-    let change = Change::ahead(address);
+    let down = script::Reserved::bind();
+    let change = Change::ahead(down.address);
     thread::sleep(Duration::from_secs(4));
-    let listener = TcpListener::bind(address).unwrap();
     let back = Instant::now();
-    let _discovery = Moody::listen(listener, Mood::Lists(change.after.clone(), AT_ONCE));
+    let _discovery = Moody::listen(down.listen(), Mood::Lists(change.after.clone(), AT_ONCE));
     let took = change.acted_on(back);
     assert!(took < TOLD, "acted on after {took:?}");
 }
