--- a/tests/node_descriptors.rs
+++ b/tests/node_descriptors.rs
@@ -12,6 +12,8 @@
 /// Clients that have been served once and rest, and others that never ask: more than the node may hold together.
 const RESTING: u64 = 80;
 const SILENT: usize = 120;
+/// Servers, all at one address: more than the node may keep connections to.
+const SERVERS: usize = 80;
 
 /// Processor time that a process has used.
 fn processor_time(node: &Node) -> Duration {
@@ -30,6 +32,8 @@
     let mut crowd = Vec::new();
     for key in 0..RESTING {
         let mut client = node.client();
+        // Its key hashes to a server of its own.
+        let key = key.wrapping_mul(0x9e37_79b9_7f4a_7c15);
         assert_eq!(client.ask(&read("read", key, 20_000)).status(), 200, "client {key} is served");
         crowd.push(client);
     }
@@ -46,7 +50,8 @@
     let down = script::Reserved::bind();
     let mut config = quick_stop(down.address);
     config["limits"]["sockets"] = DESCRIPTORS.into();
-    config["known"]["hosts"] = vec![old.entry("s-old", "ready")].into();
+    let olds = |state| (0..SERVERS).map(|i| old.entry(&format!("s-{i:02}"), state)).collect::<Vec<_>>();
+    config["known"]["hosts"] = olds("ready").into();
     config["walkpick"]["peers"]["listen"] = "127.0.0.1:0".into();
     let mut limited = Command::new("sh");
     limited.args(["-c", &format!("ulimit -n {DESCRIPTORS}; exec \"$0\""), env!("CARGO_BIN_EXE_walkpick")]);
@@ -62,7 +67,9 @@
     assert!(descriptors(&node) <= DESCRIPTORS);
 
     // Its discovery is elsewhere now, and it has a place to call it.
-    let discovery = Discovery::start(&[old.entry("s-old", "draining"), new.entry("s-new", "ready")]);
+    let mut hosts = olds("draining");
+    hosts.push(new.entry("s-new", "ready"));
+    let discovery = Discovery::start(&hosts);
     idle.extend((0..SILENT).map(|_| node.client()));
     config["discovery"] = discovery.address.to_string().into();
     node.reload(&config.to_string());
