A byte budget with classes for control traffic, and a view's figures without its list

The control traffic of a node is to share one token bucket, membership first; nothing uses it yet. Peers::summary tells a view's figures without building the list of peers, for simulations that look often.

--- /dev/null
+++ b/src/peers/budget/tests.rs
@@ -0,0 +1,37 @@
+use super::*;
+
+const SECOND: Micros = 1_000_000;
+
+#[test]
+fn what_is_sent_stays_within_depth_and_rate() {
+    let mut budget = ByteBudget::new(1_000, 2_000, 0);
+    let mut sent = 0;
+    for tick in 0..1_000 {
+        let now = tick * SECOND / 100;
+        if budget.try_take(now, TrafficClass::Membership, 100) {
+            sent += 100;
+        }
+    }
+    assert!((11_800..=12_000).contains(&sent), "{sent} bytes in 10 s");
+}
+
+#[test]
+fn later_classes_leave_a_reserve_to_earlier_ones() {
+    let mut budget = ByteBudget::new(1_000, 2_000, 0);
+    while budget.try_take(0, TrafficClass::Repair, 100) {}
+    assert!(budget.try_take(0, TrafficClass::Log, 100));
+    while budget.try_take(0, TrafficClass::Log, 100) {}
+    assert!(budget.try_take(0, TrafficClass::Configuration, 100));
+    while budget.try_take(0, TrafficClass::Configuration, 100) {}
+    assert!(budget.try_take(0, TrafficClass::Membership, 100));
+}
+
+#[test]
+fn the_wait_that_is_told_is_the_wait_that_is_needed() {
+    let mut budget = ByteBudget::new(1_000, 2_000, 0);
+    budget.take(0, 2_500);
+    let wait = budget.wait(0, TrafficClass::Log, 300).expect("deep enough");
+    assert!(!budget.try_take(wait - 1, TrafficClass::Log, 300));
+    assert!(budget.try_take(wait, TrafficClass::Log, 300));
+    assert_eq!(budget.wait(wait, TrafficClass::Repair, 1_300), None);
+}
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -4,9 +4,11 @@
 //! one cluster's datagrams apart from another's, views that can be compared, a process that was asleep, names claimed
 //! twice, and the count of nodes that may be relied on. `docs/membership.md` tells it all.
 
+mod budget;
 mod count;
 mod identity;
 
+pub use budget::{ByteBudget, TrafficClass};
 pub use count::{Count, CountRules};
 pub use identity::Peer;
 
@@ -249,6 +251,19 @@
     pub differing: BTreeMap<u64, Vec<SocketAddr>>,
 }
 
+/// The figures of a [`View`] that cost nothing to tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ViewSummary {
+    /// Nodes that are present, the node itself among them.
+    pub nodes: u32,
+    /// The count that it relies on.
+    pub in_force: u32,
+    /// How far views lie apart.
+    pub agreement: Agreement,
+    /// The digest of its view.
+    pub digest: u64,
+}
+
 /// Datagrams that were dropped.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Dropped {
@@ -551,6 +566,16 @@
         self.pending.clear();
     }
 
+    /// The figures of its view, without the list of peers.
+    pub fn summary(&self) -> ViewSummary {
+        ViewSummary {
+            nodes: self.nodes,
+            in_force: self.count.in_force(),
+            agreement: self.agreement.0,
+            digest: self.digest,
+        }
+    }
+
     /// What it sees.
     pub fn view(&self, now: Micros) -> View {
         let mut peers: Vec<_> = self.standing.values().collect();
