The lab's simulated cluster and its membership command under the field's names

The swarm, what it called told, whole, met and came back, and the command inside main.rs were hard to find one's way in.

--- a/lab/src/swarm.rs
+++ b/lab/src/cluster/simulated.rs
@@ -1,85 +1,64 @@
-//! Membership at scale: any number of the program's peers in simulated time, with a network of datagrams between them.
-//! The same seed gives the same run.
+//! Any number of the program's peers in simulated time, with a network of datagrams between them. The same seed gives
+//! the same run.
 
+use super::{AgreementChange, LinkConditions, StandingChange, Traffic};
 use crate::draw;
-use crate::model::links::Way;
 use crate::model::{Micros, SECOND};
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
-use walkpick::peers::{Agreement, Output, Peer, Peers, PeersConfig, Standing, View};
+use walkpick::peers::{Agreement, Output, Peer, Peers, PeersConfig, View};
 
 /// Unix time at the start, in microseconds.
 const EPOCH: u64 = 1_700_000_000_000_000;
-/// From one to another, at the least and at the most.
-const WAY_US: (u64, u64) = (150, 900);
+/// Time on the way from one node to another, at the least and at the most.
+const LATENCY_US: (u64, u64) = (150, 900);
 const PORT: u16 = 7_946;
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Next {
+enum Event {
     Datagram { to: usize, data: Vec<u8> },
-    Timers { node: usize, life: u32 },
-}
-
-/// A change that a node told of.
-#[derive(Clone, Debug)]
-pub struct Told {
-    /// When.
-    pub at: Micros,
-    /// Which node told.
-    pub by: usize,
-    /// Of which.
-    pub of: usize,
-    /// What became of it.
-    pub standing: Standing,
+    Timers { node: usize, incarnation: u32 },
 }
 
 struct Node {
     peers: Option<Peers>,
-    life: u32,
+    incarnation: u32,
     paused: Option<Vec<Vec<u8>>>,
-    group: u32,
-    clock_us: i64,
-    wakes: Option<Micros>,
-}
-
-/// Counts of all that was sent.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Sent {
-    /// Datagrams.
-    pub datagrams: u64,
-    /// Their bytes, without headers of the network.
-    pub bytes: u64,
+    partition: u32,
+    clock_offset_us: i64,
+    timers_at: Option<Micros>,
 }
 
 /// Peers and the network between them.
-pub struct Swarm {
+pub struct SimulatedCluster {
     config: PeersConfig,
     seed: u64,
     random: Xoshiro256PlusPlus,
     now: Micros,
-    count: u64,
-    queue: BinaryHeap<Reverse<(Micros, u64, Next)>>,
+    /// Events so far: those of one time run in the order in which they were scheduled.
+    scheduled: u64,
+    queue: BinaryHeap<Reverse<(Micros, u64, Event)>>,
     nodes: Vec<Node>,
     by_address: HashMap<SocketAddr, usize>,
     /// What every link does.
-    pub way: Way,
-    /// Links that carry nothing in this direction, beside those between groups.
-    pub deaf: BTreeSet<(usize, usize)>,
+    pub links: LinkConditions,
+    /// Links (from, to) that carry nothing, beside those between partitions.
+    pub blocked: BTreeSet<(usize, usize)>,
     /// What was sent.
-    pub sent: Sent,
-    /// Every change of standing that nodes told of.
-    pub told: Vec<Told>,
-    /// When each node told what of its agreement.
-    pub agreements: Vec<(Micros, usize, Agreement)>,
-    /// What nodes rely on.
+    pub sent: Traffic,
+    /// Every change of standing that nodes reported.
+    pub standing_changes: Vec<StandingChange>,
+    /// Every change of agreement that nodes reported.
+    pub agreement_changes: Vec<AgreementChange>,
+    /// The count that each node relies on.
     pub counts: Vec<u32>,
-    /// How often nodes came back that had been declared gone.
-    pub came_back: u64,
+    /// How often nodes rejoined that had been declared gone.
+    pub rejoined: u64,
     /// The last of them.
-    pub last_back: usize,
+    pub last_rejoined: usize,
     /// Nodes that gave their name up.
     pub yielded: Vec<usize>,
 }
@@ -89,28 +68,35 @@
     SocketAddr::from((Ipv4Addr::from_bits(0x0a00_0001 + node as u32), PORT))
 }
 
-impl Swarm {
-    /// So many places, with nobody started. The first `seeds` of them are everybody's seeds.
+impl SimulatedCluster {
+    /// A cluster of so many nodes, with nobody started. The first `seeds` of them are everybody's seeds.
     pub fn new(config: PeersConfig, nodes: usize, seeds: usize, seed: u64) -> Self {
         let config = PeersConfig { seeds: (0..seeds).map(address).collect(), ..config };
-        let place = || Node { peers: None, life: 0, paused: None, group: 0, clock_us: 0, wakes: None };
+        let stopped = || Node {
+            peers: None,
+            incarnation: 0,
+            paused: None,
+            partition: 0,
+            clock_offset_us: 0,
+            timers_at: None,
+        };
         Self {
             config,
             seed,
             random: Xoshiro256PlusPlus::seed_from_u64(seed),
             now: 0,
-            count: 0,
+            scheduled: 0,
             queue: BinaryHeap::new(),
             by_address: (0..nodes).map(|node| (address(node), node)).collect(),
-            nodes: (0..nodes).map(|_| place()).collect(),
-            way: Way::default(),
-            deaf: BTreeSet::new(),
-            sent: Sent::default(),
-            told: Vec::new(),
-            agreements: Vec::new(),
+            nodes: (0..nodes).map(|_| stopped()).collect(),
+            links: LinkConditions::default(),
+            blocked: BTreeSet::new(),
+            sent: Traffic::default(),
+            standing_changes: Vec::new(),
+            agreement_changes: Vec::new(),
             counts: vec![0; nodes],
-            came_back: 0,
-            last_back: 0,
+            rejoined: 0,
+            last_rejoined: 0,
             yielded: Vec::new(),
         }
     }
@@ -127,9 +113,9 @@
 
     /// Starts a node under a name of its own.
     pub fn start_as(&mut self, node: usize, name: &str) {
-        let held = &mut self.nodes[node];
-        held.life += 1;
-        let order = (EPOCH + self.now).saturating_add_signed(held.clock_us);
+        let state = &mut self.nodes[node];
+        state.incarnation += 1;
+        let order = (EPOCH + self.now).saturating_add_signed(state.clock_offset_us);
         let salt = self.random.random();
         let me = Peer {
             address: address(node),
@@ -140,26 +126,27 @@
             more: Vec::new(),
         };
         let seed =
-            draw::unit(self.seed, draw::Stream::Lists, (node as u64) << 32 | u64::from(held.life)).to_bits();
-        held.peers = Some(Peers::new(self.config.clone(), me, seed, self.now));
-        (held.paused, held.wakes) = (None, None);
+            draw::unit(self.seed, draw::Stream::Lists, (node as u64) << 32 | u64::from(state.incarnation))
+                .to_bits();
+        state.peers = Some(Peers::new(self.config.clone(), me, seed, self.now));
+        (state.paused, state.timers_at) = (None, None);
         self.counts[node] = self.config.nodes;
-        self.wake(node);
+        self.schedule_timers(node);
     }
 
-    /// Ends a process without a word.
+    /// Ends a process without a farewell.
     pub fn kill(&mut self, node: usize) {
         self.nodes[node].peers = None;
-        self.nodes[node].life += 1;
+        self.nodes[node].incarnation += 1;
     }
 
-    /// Ends a process that says farewell.
+    /// Ends a process that announces that it leaves.
     pub fn leave(&mut self, node: usize) {
         let mut out = Vec::new();
         if let Some(peers) = &mut self.nodes[node].peers {
             peers.leave(self.now, &mut out);
         }
-        self.carry_out(node, out);
+        self.perform(node, out);
         self.kill(node);
     }
 
@@ -171,19 +158,19 @@
     /// It goes on: first with what waited.
     pub fn resume(&mut self, node: usize) {
         for data in self.nodes[node].paused.take().unwrap_or_default() {
-            self.hand_over(node, &data);
+            self.deliver(node, &data);
         }
-        self.timers(node);
+        self.run_timers(node);
     }
 
-    /// Nodes reach those of their own group alone.
-    pub fn split(&mut self, group: impl Fn(usize) -> u32) {
-        self.nodes.iter_mut().enumerate().for_each(|(node, held)| held.group = group(node));
+    /// Partitions the network: nodes reach those of their own partition alone.
+    pub fn partition(&mut self, partition: impl Fn(usize) -> u32) {
+        self.nodes.iter_mut().enumerate().for_each(|(node, state)| state.partition = partition(node));
     }
 
     /// Sets how far a node's wall clock is off from its next start on.
     pub fn clock(&mut self, node: usize, off_us: i64) {
-        self.nodes[node].clock_us = off_us;
+        self.nodes[node].clock_offset_us = off_us;
     }
 
     /// Whether a process runs there.
@@ -198,7 +185,7 @@
 
     /// Sends a node some bytes.
     pub fn inject(&mut self, node: usize, data: &[u8]) {
-        self.hand_over(node, data);
+        self.deliver(node, data);
     }
 
     /// The datagrams that a node has dropped.
@@ -210,14 +197,14 @@
     pub fn run(&mut self, micros: Micros) {
         let end = self.now + micros;
         while self.queue.peek().is_some_and(|Reverse((at, ..))| *at <= end) {
-            let Some(Reverse((at, _, next))) = self.queue.pop() else { break };
+            let Some(Reverse((at, _, event))) = self.queue.pop() else { break };
             self.now = at;
-            match next {
-                Next::Datagram { to, data } => self.hand_over(to, &data),
-                Next::Timers { node, life } => {
-                    if self.nodes[node].life == life {
-                        self.nodes[node].wakes = None;
-                        self.timers(node);
+            match event {
+                Event::Datagram { to, data } => self.deliver(to, &data),
+                Event::Timers { node, incarnation } => {
+                    if self.nodes[node].incarnation == incarnation {
+                        self.nodes[node].timers_at = None;
+                        self.run_timers(node);
                     }
                 }
             }
@@ -238,7 +225,7 @@
     }
 
     /// Whether all that run see all that run, and say that they agree.
-    pub fn whole(&self) -> bool {
+    pub fn converged(&self) -> bool {
         let alive = self.nodes.iter().filter(|node| node.peers.is_some()).count() as u32;
         let views =
             self.nodes.iter().filter_map(|node| node.peers.as_ref().map(|peers| peers.view(self.now)));
@@ -249,7 +236,7 @@
         }) && digests.len() <= 1
     }
 
-    fn timers(&mut self, node: usize) {
+    fn run_timers(&mut self, node: usize) {
         if self.nodes[node].paused.is_some() {
             return;
         }
@@ -257,58 +244,62 @@
         if let Some(peers) = &mut self.nodes[node].peers {
             peers.timers(self.now, &mut out);
         }
-        self.carry_out(node, out);
-        self.wake(node);
+        self.perform(node, out);
+        self.schedule_timers(node);
     }
 
-    fn wake(&mut self, node: usize) {
-        let held = &mut self.nodes[node];
-        let Some(at) = held.peers.as_ref().and_then(Peers::next) else { return };
-        if held.wakes.is_some_and(|wakes| wakes <= at) {
+    fn schedule_timers(&mut self, node: usize) {
+        let state = &mut self.nodes[node];
+        let Some(at) = state.peers.as_ref().and_then(Peers::next) else { return };
+        if state.timers_at.is_some_and(|timers_at| timers_at <= at) {
             return;
         }
-        held.wakes = Some(at);
-        let life = held.life;
-        self.at(at, Next::Timers { node, life });
+        state.timers_at = Some(at);
+        let incarnation = state.incarnation;
+        self.schedule(at, Event::Timers { node, incarnation });
     }
 
-    fn at(&mut self, at: Micros, next: Next) {
-        self.count += 1;
-        self.queue.push(Reverse((at.max(self.now), self.count, next)));
+    fn schedule(&mut self, at: Micros, event: Event) {
+        self.scheduled += 1;
+        self.queue.push(Reverse((at.max(self.now), self.scheduled, event)));
     }
 
-    fn hand_over(&mut self, node: usize, data: &[u8]) {
+    fn deliver(&mut self, node: usize, data: &[u8]) {
         /// Datagrams that a socket's queue holds.
         const QUEUE: usize = 256;
-        let held = &mut self.nodes[node];
-        if let Some(waiting) = &mut held.paused {
+        let state = &mut self.nodes[node];
+        if let Some(waiting) = &mut state.paused {
             if waiting.len() < QUEUE {
                 waiting.push(data.to_vec());
             }
             return;
         }
         let mut out = Vec::new();
-        if let Some(peers) = &mut held.peers {
+        if let Some(peers) = &mut state.peers {
             peers.datagram(self.now, data, &mut out);
         }
-        self.carry_out(node, out);
-        self.wake(node);
+        self.perform(node, out);
+        self.schedule_timers(node);
     }
 
-    fn carry_out(&mut self, node: usize, out: Vec<Output>) {
+    fn perform(&mut self, node: usize, out: Vec<Output>) {
         for output in out {
             match output {
                 Output::Send { to, data } => self.send(node, to, data),
                 Output::Standing { peer, standing } => {
-                    if let Some(&of) = self.by_address.get(&peer.address) {
-                        self.told.push(Told { at: self.now, by: node, of, standing });
+                    if let Some(&subject) = self.by_address.get(&peer.address) {
+                        let change = StandingChange { at: self.now, observer: node, subject, standing };
+                        self.standing_changes.push(change);
                     }
                 }
-                Output::Agreement(agreement) => self.agreements.push((self.now, node, agreement)),
+                Output::Agreement(agreement) => {
+                    let change = AgreementChange { at: self.now, observer: node, agreement };
+                    self.agreement_changes.push(change);
+                }
                 Output::Count(count) => self.counts[node] = count,
                 Output::NameClaimed { yields: true, .. } => self.yielded.push(node),
                 Output::NameClaimed { .. } => {}
-                Output::CameBack => (self.came_back, self.last_back) = (self.came_back + 1, node),
+                Output::CameBack => (self.rejoined, self.last_rejoined) = (self.rejoined + 1, node),
             }
         }
     }
@@ -317,18 +308,19 @@
         self.sent.datagrams += 1;
         self.sent.bytes += data.len() as u64;
         let Some(&to) = self.by_address.get(&to) else { return };
-        let (one, two) = (self.nodes[node].group, self.nodes[to].group);
-        let cut = one != two || self.way.silent || self.deaf.contains(&(node, to));
-        if cut || self.random.random::<f64>() < self.way.loss {
+        let (from, into) = (self.nodes[node].partition, self.nodes[to].partition);
+        let cut = from != into || self.links.silent || self.blocked.contains(&(node, to));
+        if cut || self.random.random::<f64>() < self.links.loss {
             return;
         }
-        let copies = 1 + u32::from(self.random.random::<f64>() < self.way.duplicate);
+        let copies = 1 + u32::from(self.random.random::<f64>() < self.links.duplicate);
         for _ in 0..copies {
-            let way = self.random.random_range(WAY_US.0..WAY_US.1) + self.way.delay.as_micros() as Micros;
-            let jitter = self.way.jitter.mul_f64(self.random.random()).as_micros() as Micros;
-            let late = if self.random.random::<f64>() < self.way.reorder { 50_000 } else { 0 };
-            let next = Next::Datagram { to, data: data.clone() };
-            self.at(self.now + way + jitter + late, next);
+            let latency =
+                self.random.random_range(LATENCY_US.0..LATENCY_US.1) + self.links.delay.as_micros() as Micros;
+            let jitter = self.links.jitter.mul_f64(self.random.random()).as_micros() as Micros;
+            let late = if self.random.random::<f64>() < self.links.reorder { 50_000 } else { 0 };
+            let event = Event::Datagram { to, data: data.clone() };
+            self.schedule(self.now + latency + jitter + late, event);
         }
     }
 }
--- /dev/null
+++ b/lab/src/commands/mod.rs
@@ -0,0 +1,13 @@
+//! The commands of the lab's program, each in a module of its own.
+
+pub mod membership;
+
+/// A name that the command line gave and that is not known.
+#[derive(Debug, thiserror::Error)]
+#[error("found \"{found}\", expected one of {expected}")]
+pub struct UnknownName {
+    /// What was given.
+    pub found: String,
+    /// What may be given.
+    pub expected: String,
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -13,9 +13,9 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use walkpick_lab::commands::{membership, UnknownName};
 use walkpick_lab::experiment::{self, Arm, Driver, Experiment, ExperimentError, Policy, What};
 use walkpick_lab::judge::{self, Result as Run};
-use walkpick_lab::membership::{Case, CASES};
 use walkpick_lab::real::{self, process, Options, RealError};
 use walkpick_lab::world::World;
 use walkpick_lab::{model, report};
@@ -36,7 +36,7 @@
     /// Run an experiment with real nodes and in simulated time on the same seeds, and tell how far apart they lie
     Calibrate(CalibrateArgs),
     /// Run cases of membership among any number of peers in simulated time
-    Membership(MembershipArgs),
+    Membership(membership::MembershipArgs),
     /// Run again what a JSON of results came from, and tell whether the same comes out
     Replay {
         /// What `run --json` wrote
@@ -134,28 +134,6 @@
     how: How,
 }
 
-#[derive(Debug, Args)]
-struct MembershipArgs {
-    /// Which cases; all where none is given
-    #[arg(long, value_delimiter = ',')]
-    case: Vec<Case>,
-    /// Numbers of nodes
-    #[arg(long, value_delimiter = ',', default_value = "50")]
-    nodes: Vec<usize>,
-    /// Parts of the datagrams that are lost
-    #[arg(long, value_delimiter = ',', default_value = "0")]
-    loss: Vec<f64>,
-    /// How many seeds
-    #[arg(long, default_value_t = 3)]
-    seeds: u64,
-    /// How long nothing happens in the case of calm
-    #[arg(long, default_value = "1m", value_parser = humantime::parse_duration)]
-    calm: Duration,
-    /// Write JSON
-    #[arg(long)]
-    json: bool,
-}
-
 #[derive(Debug, Args)]
 struct CalibrateArgs {
     /// The experiment
@@ -208,7 +186,7 @@
         Command::Run(args) => run(&args),
         Command::Compare(args) => compare(&args),
         Command::Calibrate(args) => calibrate(&args),
-        Command::Membership(args) => membership(&args).map(|()| true),
+        Command::Membership(args) => membership::run(&args),
         Command::Replay { file, how } => replay(&file, &how),
         Command::Init { file } => init(&file).map(|()| true),
         Command::List { folder } => list(&folder).map(|()| true),
@@ -232,13 +210,6 @@
     }
 }
 
-#[derive(Debug, thiserror::Error)]
-#[error("found \"{found}\", expected one of {expected}")]
-struct UnknownName {
-    found: String,
-    expected: String,
-}
-
 type Done = Result<bool, Box<dyn Error>>;
 
 /// A run that is asked for.
@@ -510,80 +481,6 @@
     Ok(same && void.is_empty())
 }
 
-fn membership(args: &MembershipArgs) -> Result<(), Box<dyn Error>> {
-    let cases = if args.case.is_empty() { CASES.to_vec() } else { args.case.clone() };
-    let mut wanted = Vec::new();
-    for &nodes in &args.nodes {
-        if !(2..=20_000).contains(&nodes) {
-            return Err(UnknownName { found: nodes.to_string(), expected: "2 to 20000 nodes".into() }.into());
-        }
-        for &loss in &args.loss {
-            for &case in &cases {
-                wanted.extend((1..=args.seeds).map(|seed| (case, nodes, loss, seed)));
-            }
-        }
-    }
-    let (next, done) = (AtomicUsize::new(0), Mutex::new(BTreeMap::new()));
-    let bar = ProgressBar::new(wanted.len() as u64);
-    std::thread::scope(|scope| {
-        for _ in 0..std::thread::available_parallelism().map_or(1, usize::from) {
-            scope.spawn(|| loop {
-                let place = next.fetch_add(1, Ordering::Relaxed);
-                let Some(&(case, nodes, loss, seed)) = wanted.get(place) else { return };
-                let found = walkpick_lab::membership::run(case, nodes, loss, seed, model::micros(args.calm));
-                if let Ok(mut done) = done.lock() {
-                    done.insert(place, found);
-                }
-                bar.inc(1);
-            });
-        }
-    });
-    bar.finish_and_clear();
-    let found: Vec<_> = done.into_inner().unwrap_or_default().into_values().collect();
-    let mut out = io::stdout().lock();
-    if args.json {
-        return Ok(writeln!(out, "{}", serde_json::to_string_pretty(&found)?)?);
-    }
-    writeln!(
-        out,
-        "{:6} {:>5} {:>5} {:>4} {:>7} {:>8} {:>8} {:>8} {:>8} {:>6} {:>6} {:>6} {:>8}",
-        "case",
-        "nodes",
-        "loss",
-        "seed",
-        "met",
-        "known50",
-        "known99",
-        "differ",
-        "whole",
-        "false",
-        "back",
-        "parts",
-        "B/s"
-    )?;
-    for found in &found {
-        let time = |time: Option<f64>| time.map_or_else(|| "-".to_owned(), |time| format!("{time:.1}"));
-        writeln!(
-            out,
-            "{:6} {:>5} {:>5} {:>4} {:>7} {:>8} {:>8} {:>8} {:>8} {:>6} {:>6} {:>6.2} {:>8.0}",
-            format!("{:?}", found.case).to_lowercase(),
-            found.nodes,
-            found.loss,
-            found.seed,
-            time(found.met_s),
-            time(found.known_p50_s),
-            time(found.known_p99_s),
-            time(found.differ_s),
-            time(found.whole_s),
-            found.false_words,
-            found.came_back,
-            found.parts,
-            found.bytes_per_s,
-        )?;
-    }
-    Ok(())
-}
-
 fn replay(file: &Path, how: &How) -> Done {
     let fault = |place: String, what: String| ExperimentError::Faulty {
         path: file.to_owned(),
