Simulated cluster: looks at summaries, moves datagrams, meters each node, knows regions

The harness built every node's sorted view ten times a second, copied each datagram, and left a replaced timer in the queue that scheduled another one for ever. Now it looks at Peers::summary, moves the bytes, and drops a replaced timer. A report of loss says whether that process could be reached.

--- a/lab/src/cluster/cases.rs
+++ b/lab/src/cluster/cases.rs
@@ -84,7 +84,8 @@
     (0..nodes).for_each(|node| cluster.start(node));
     let joined = cluster.run_until(JOIN_LIMIT, SimulatedCluster::converged);
     cluster.run(2 * SECOND);
-    let (begun, sent, before) = (cluster.now(), cluster.sent.bytes, cluster.rejoined);
+    let (begun, before) = (cluster.now(), cluster.rejoined);
+    cluster.traffic.reset(begun);
     cluster.standing_changes.clear();
     cluster.agreement_changes.clear();
     let mut outcome = CaseOutcome {
@@ -159,7 +160,7 @@
     outcome.share_sum = most;
     outcome.converged_s = converged.map(seconds);
     let took = seconds(cluster.now() - begun).max(1.0);
-    outcome.bytes_per_s = (cluster.sent.bytes - sent) as f64 / took / nodes as f64;
+    outcome.bytes_per_s = cluster.traffic.total().bytes as f64 / took / nodes as f64;
     let wrong =
         |change: &&StandingChange| change.standing == Standing::Lost && !gone.contains(&change.subject);
     // One that was paused takes nobody for gone when it goes on.
--- a/lab/src/cluster/mod.rs
+++ b/lab/src/cluster/mod.rs
@@ -4,7 +4,11 @@
 mod links;
 mod record;
 mod simulated;
+mod topology;
+mod traffic;
 
 pub use links::LinkConditions;
-pub use record::{AgreementChange, StandingChange, Traffic};
+pub use record::{AgreementChange, StandingChange};
 pub use simulated::{address, SimulatedCluster};
+pub use topology::{Location, Topology};
+pub use traffic::{Traffic, TrafficMeter, TrafficRates};
--- a/lab/src/cluster/record.rs
+++ b/lab/src/cluster/record.rs
@@ -14,6 +14,8 @@
     pub subject: usize,
     /// Its new standing.
     pub standing: Standing,
+    /// Whether that process ran and could be reached from the observer: then it must not be reported as lost.
+    pub reachable: bool,
 }
 
 /// A node reported that its agreement with the others changed.
@@ -26,12 +28,3 @@
     /// Its new agreement.
     pub agreement: Agreement,
 }
-
-/// Counts of all that was sent.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Traffic {
-    /// Datagrams.
-    pub datagrams: u64,
-    /// Their bytes, without the network's headers.
-    pub bytes: u64,
-}
--- a/lab/src/cluster/simulated.rs
+++ b/lab/src/cluster/simulated.rs
@@ -1,21 +1,25 @@
 //! Any number of the program's peers in simulated time, with a network of datagrams between them. The same seed gives
 //! the same run.
 
-use super::{AgreementChange, LinkConditions, StandingChange, Traffic};
+use super::{AgreementChange, LinkConditions, StandingChange, Topology, TrafficMeter};
 use crate::draw;
 use crate::model::{Micros, SECOND};
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, HashMap};
+use std::collections::{BTreeSet, BinaryHeap};
 use std::net::{Ipv4Addr, SocketAddr};
-use walkpick::peers::{Agreement, Output, Peer, Peers, PeersConfig, View};
+use walkpick::peers::{Agreement, Output, Peer, Peers, PeersConfig, Standing, View};
 
 /// Unix time at the start, in microseconds.
 const EPOCH: u64 = 1_700_000_000_000_000;
-/// Time on the way from one node to another, at the least and at the most.
-const LATENCY_US: (u64, u64) = (150, 900);
+/// The first node's address; the others' follow.
+const FIRST_ADDRESS: u32 = 0x0a00_0001;
 const PORT: u16 = 7_946;
+/// A datagram that is overtaken comes so much later.
+const REORDERED: Micros = 50_000;
+/// Datagrams that a socket's queue holds.
+const SOCKET_QUEUE: usize = 256;
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -26,6 +30,8 @@
 struct Node {
     peers: Option<Peers>,
     incarnation: u32,
+    /// The order of its identity at its start.
+    started_as: u64,
     paused: Option<Vec<Vec<u8>>>,
     partition: u32,
     clock_offset_us: i64,
@@ -42,14 +48,14 @@
     scheduled: u64,
     queue: BinaryHeap<Reverse<(Micros, u64, Event)>>,
     nodes: Vec<Node>,
-    by_address: HashMap<SocketAddr, usize>,
+    topology: Topology,
     /// What every link does.
     pub links: LinkConditions,
     /// Links (from, to) that carry nothing, beside those between partitions.
     pub blocked: BTreeSet<(usize, usize)>,
-    /// What was sent.
-    pub sent: Traffic,
-    /// Every change of standing that nodes reported.
+    /// What nodes send and receive.
+    pub traffic: TrafficMeter,
+    /// Every change of standing that nodes reported, but for those that are present.
     pub standing_changes: Vec<StandingChange>,
     /// Every change of agreement that nodes reported.
     pub agreement_changes: Vec<AgreementChange>,
@@ -65,7 +71,17 @@
 
 /// Where a node listens.
 pub fn address(node: usize) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::from_bits(0x0a00_0001 + node as u32), PORT))
+    SocketAddr::from((Ipv4Addr::from_bits(FIRST_ADDRESS + node as u32), PORT))
+}
+
+/// Which node an address may belong to.
+fn node_at(address: SocketAddr) -> Option<usize> {
+    match address {
+        SocketAddr::V4(address) => {
+            address.ip().to_bits().checked_sub(FIRST_ADDRESS).map(|node| node as usize)
+        }
+        SocketAddr::V6(_) => None,
+    }
 }
 
 impl SimulatedCluster {
@@ -75,6 +91,7 @@
         let stopped = || Node {
             peers: None,
             incarnation: 0,
+            started_as: 0,
             paused: None,
             partition: 0,
             clock_offset_us: 0,
@@ -87,11 +104,11 @@
             now: 0,
             scheduled: 0,
             queue: BinaryHeap::new(),
-            by_address: (0..nodes).map(|node| (address(node), node)).collect(),
+            topology: Topology::default(),
             nodes: (0..nodes).map(|_| stopped()).collect(),
             links: LinkConditions::default(),
             blocked: BTreeSet::new(),
-            sent: Traffic::default(),
+            traffic: TrafficMeter::new(nodes, 0),
             standing_changes: Vec::new(),
             agreement_changes: Vec::new(),
             counts: vec![0; nodes],
@@ -101,6 +118,12 @@
         }
     }
 
+    /// The same cluster on another network.
+    pub fn with_topology(mut self, topology: Topology) -> Self {
+        self.topology = topology;
+        self
+    }
+
     /// The time.
     pub fn now(&self) -> Micros {
         self.now
@@ -129,7 +152,7 @@
             draw::unit(self.seed, draw::Stream::Lists, (node as u64) << 32 | u64::from(state.incarnation))
                 .to_bits();
         state.peers = Some(Peers::new(self.config.clone(), me, seed, self.now));
-        (state.paused, state.timers_at) = (None, None);
+        (state.started_as, state.paused, state.timers_at) = (order, None, None);
         self.counts[node] = self.config.nodes;
         self.schedule_timers(node);
     }
@@ -158,7 +181,7 @@
     /// It goes on: first with what waited.
     pub fn resume(&mut self, node: usize) {
         for data in self.nodes[node].paused.take().unwrap_or_default() {
-            self.deliver(node, &data);
+            self.deliver(node, data);
         }
         self.run_timers(node);
     }
@@ -185,7 +208,7 @@
 
     /// Sends a node some bytes.
     pub fn inject(&mut self, node: usize, data: &[u8]) {
-        self.deliver(node, data);
+        self.deliver(node, data.to_vec());
     }
 
     /// The datagrams that a node has dropped.
@@ -199,17 +222,14 @@
         while self.queue.peek().is_some_and(|Reverse((at, ..))| *at <= end) {
             let Some(Reverse((at, _, event))) = self.queue.pop() else { break };
             self.now = at;
+            self.traffic.advance(at);
             match event {
-                Event::Datagram { to, data } => self.deliver(to, &data),
-                Event::Timers { node, incarnation } => {
-                    if self.nodes[node].incarnation == incarnation {
-                        self.nodes[node].timers_at = None;
-                        self.run_timers(node);
-                    }
-                }
+                Event::Datagram { to, data } => self.deliver(to, data),
+                Event::Timers { node, incarnation } => self.timers_due(node, incarnation),
             }
         }
         self.now = end;
+        self.traffic.advance(end);
     }
 
     /// Runs until `done`, looking ten times a second; how long that took, or none within `limit`.
@@ -227,13 +247,22 @@
     /// Whether all that run see all that run, and say that they agree.
     pub fn converged(&self) -> bool {
         let alive = self.nodes.iter().filter(|node| node.peers.is_some()).count() as u32;
-        let views =
-            self.nodes.iter().filter_map(|node| node.peers.as_ref().map(|peers| peers.view(self.now)));
-        let mut digests = BTreeSet::new();
-        views.into_iter().all(|view| {
-            digests.insert(view.digest);
-            view.nodes == alive && view.agreement == Agreement::Agreed
-        }) && digests.len() <= 1
+        let running = || self.nodes.iter().filter_map(|node| node.peers.as_ref());
+        let Some(first) = running().next().map(Peers::summary) else { return true };
+        running().all(|peers| {
+            let seen = peers.summary();
+            seen.nodes == alive && seen.agreement == Agreement::Agreed && seen.digest == first.digest
+        })
+    }
+
+    /// A scheduled call is due. One that an earlier one has replaced does nothing: it would schedule another one, and
+    /// that one another.
+    fn timers_due(&mut self, node: usize, incarnation: u32) {
+        let state = &mut self.nodes[node];
+        if state.incarnation == incarnation && state.timers_at == Some(self.now) {
+            state.timers_at = None;
+            self.run_timers(node);
+        }
     }
 
     fn run_timers(&mut self, node: usize) {
@@ -250,7 +279,8 @@
 
     fn schedule_timers(&mut self, node: usize) {
         let state = &mut self.nodes[node];
-        let Some(at) = state.peers.as_ref().and_then(Peers::next) else { return };
+        let Some(next) = state.peers.as_ref().and_then(Peers::next) else { return };
+        let at = next.max(self.now);
         if state.timers_at.is_some_and(|timers_at| timers_at <= at) {
             return;
         }
@@ -261,22 +291,21 @@
 
     fn schedule(&mut self, at: Micros, event: Event) {
         self.scheduled += 1;
-        self.queue.push(Reverse((at.max(self.now), self.scheduled, event)));
+        self.queue.push(Reverse((at, self.scheduled, event)));
     }
 
-    fn deliver(&mut self, node: usize, data: &[u8]) {
-        /// Datagrams that a socket's queue holds.
-        const QUEUE: usize = 256;
+    fn deliver(&mut self, node: usize, data: Vec<u8>) {
         let state = &mut self.nodes[node];
         if let Some(waiting) = &mut state.paused {
-            if waiting.len() < QUEUE {
-                waiting.push(data.to_vec());
+            if waiting.len() < SOCKET_QUEUE {
+                waiting.push(data);
             }
             return;
         }
+        self.traffic.received(node, data.len());
         let mut out = Vec::new();
         if let Some(peers) = &mut state.peers {
-            peers.datagram(self.now, data, &mut out);
+            peers.datagram(self.now, &data, &mut out);
         }
         self.perform(node, out);
         self.schedule_timers(node);
@@ -287,10 +316,7 @@
             match output {
                 Output::Send { to, data } => self.send(node, to, data),
                 Output::Standing { peer, standing } => {
-                    if let Some(&subject) = self.by_address.get(&peer.address) {
-                        let change = StandingChange { at: self.now, observer: node, subject, standing };
-                        self.standing_changes.push(change);
-                    }
+                    self.note_standing(node, &peer, standing);
                 }
                 Output::Agreement(agreement) => {
                     let change = AgreementChange { at: self.now, observer: node, agreement };
@@ -304,23 +330,42 @@
         }
     }
 
-    fn send(&mut self, node: usize, to: SocketAddr, data: Vec<u8>) {
-        self.sent.datagrams += 1;
-        self.sent.bytes += data.len() as u64;
-        let Some(&to) = self.by_address.get(&to) else { return };
-        let (from, into) = (self.nodes[node].partition, self.nodes[to].partition);
-        let cut = from != into || self.links.silent || self.blocked.contains(&(node, to));
-        if cut || self.random.random::<f64>() < self.links.loss {
+    fn note_standing(&mut self, observer: usize, peer: &Peer, standing: Standing) {
+        let Some(subject) = node_at(peer.address).filter(|node| *node < self.nodes.len()) else { return };
+        // Who joins is seen by everybody at once: views tell of that.
+        if standing == Standing::Present {
             return;
         }
-        let copies = 1 + u32::from(self.random.random::<f64>() < self.links.duplicate);
-        for _ in 0..copies {
-            let latency =
-                self.random.random_range(LATENCY_US.0..LATENCY_US.1) + self.links.delay.as_micros() as Micros;
-            let jitter = self.links.jitter.mul_f64(self.random.random()).as_micros() as Micros;
-            let late = if self.random.random::<f64>() < self.links.reorder { 50_000 } else { 0 };
-            let event = Event::Datagram { to, data: data.clone() };
-            self.schedule(self.now + latency + jitter + late, event);
+        let state = &self.nodes[subject];
+        let runs = state.peers.is_some() && state.paused.is_none() && peer.order >= state.started_as;
+        let reachable = runs && !self.cut(observer, subject) && !self.cut(subject, observer);
+        let change = StandingChange { at: self.now, observer, subject, standing, reachable };
+        self.standing_changes.push(change);
+    }
+
+    /// Whether nothing gets through from one node to another.
+    fn cut(&self, from: usize, to: usize) -> bool {
+        let partitioned = self.nodes[from].partition != self.nodes[to].partition;
+        partitioned || self.links.silent || self.blocked.contains(&(from, to))
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, data: Vec<u8>) {
+        self.traffic.sent(from, data.len());
+        let Some(to) = node_at(to).filter(|node| *node < self.nodes.len()) else { return };
+        if self.cut(from, to) || self.random.random::<f64>() < self.links.loss {
+            return;
+        }
+        if self.random.random::<f64>() < self.links.duplicate {
+            self.send_one(from, to, data.clone());
         }
+        self.send_one(from, to, data);
+    }
+
+    fn send_one(&mut self, from: usize, to: usize, data: Vec<u8>) {
+        let latency = self.topology.latency(from, to, &mut self.random);
+        let delay = self.links.delay.as_micros() as Micros;
+        let jitter = self.links.jitter.mul_f64(self.random.random()).as_micros() as Micros;
+        let late = if self.random.random::<f64>() < self.links.reorder { REORDERED } else { 0 };
+        self.schedule(self.now + latency + delay + jitter + late, Event::Datagram { to, data });
     }
 }
--- /dev/null
+++ b/lab/src/cluster/traffic.rs
@@ -0,0 +1,185 @@
+//! How much nodes send and receive, in total and at the worst over a sliding window.
+
+use crate::model::{Micros, SECOND};
+use serde::Serialize;
+
+/// Windows move on by this step.
+const BIN: Micros = SECOND / 2;
+/// Steps in a window of 5 s: long enough for a burst to count as a rate, short enough for it to be seen.
+const BINS: usize = 10;
+const WINDOW_S: f64 = 5.0;
+
+/// Counts of datagrams and their bytes, without the network's headers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Datagrams.
+    pub datagrams: u64,
+    /// Their bytes.
+    pub bytes: u64,
+}
+
+impl Traffic {
+    fn add(&mut self, other: Self) {
+        self.datagrams += other.datagrams;
+        self.bytes += other.bytes;
+    }
+
+    fn subtract(&mut self, other: Self) {
+        self.datagrams -= other.datagrams;
+        self.bytes -= other.bytes;
+    }
+}
+
+/// Rates a second since a meter was reset. Peaks are over all whole windows of 5 s since then.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct TrafficRates {
+    /// Bytes that a node sent, in the mean over nodes and time.
+    pub bytes_per_s: f64,
+    /// Datagrams that a node sent, in the mean over nodes and time.
+    pub datagrams_per_s: f64,
+    /// The largest 5 s mean of bytes sent by any node.
+    pub peak_bytes_per_s: f64,
+    /// The largest 5 s mean of datagrams sent by any node.
+    pub peak_datagrams_per_s: f64,
+    /// The largest 5 s mean of bytes received by any node.
+    pub peak_received_bytes_per_s: f64,
+    /// The largest 5 s mean of bytes sent, in the mean over nodes.
+    pub peak_mean_bytes_per_s: f64,
+}
+
+/// Counts over the window that is open.
+#[derive(Clone, Debug, Default)]
+struct SlidingWindow {
+    bins: [Traffic; BINS],
+    sum: Traffic,
+}
+
+impl SlidingWindow {
+    fn count(&mut self, bin: usize, bytes: usize) {
+        let one = Traffic { datagrams: 1, bytes: bytes as u64 };
+        self.bins[bin].add(one);
+        self.sum.add(one);
+    }
+
+    /// Forgets the oldest bin, which is counted in next.
+    fn reopen(&mut self, bin: usize) {
+        self.sum.subtract(std::mem::take(&mut self.bins[bin]));
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct NodeWindows {
+    sent: SlidingWindow,
+    received: SlidingWindow,
+}
+
+/// Counts what every node sends and receives.
+#[derive(Clone, Debug)]
+pub struct TrafficMeter {
+    nodes: Vec<NodeWindows>,
+    /// What all nodes sent since the reset.
+    sent: Traffic,
+    reset_at: Micros,
+    /// When the bin that is open ends.
+    bin_ends: Micros,
+    /// Bins that have ended since the reset.
+    ended: usize,
+    peaks: Peaks,
+}
+
+/// The largest sums over a window.
+#[derive(Clone, Copy, Debug, Default)]
+struct Peaks {
+    sent: Traffic,
+    received_bytes: u64,
+    sent_by_all: u64,
+}
+
+impl TrafficMeter {
+    /// A meter of so many nodes.
+    pub fn new(nodes: usize, now: Micros) -> Self {
+        Self {
+            nodes: vec![NodeWindows::default(); nodes],
+            sent: Traffic::default(),
+            reset_at: now,
+            bin_ends: now + BIN,
+            ended: 0,
+            peaks: Peaks::default(),
+        }
+    }
+
+    /// Begins anew.
+    pub fn reset(&mut self, now: Micros) {
+        *self = Self::new(self.nodes.len(), now);
+    }
+
+    /// A node has sent a datagram.
+    pub fn sent(&mut self, node: usize, bytes: usize) {
+        let bin = self.open_bin();
+        self.sent.add(Traffic { datagrams: 1, bytes: bytes as u64 });
+        self.nodes[node].sent.count(bin, bytes);
+    }
+
+    /// A node has received a datagram.
+    pub fn received(&mut self, node: usize, bytes: usize) {
+        let bin = self.open_bin();
+        self.nodes[node].received.count(bin, bytes);
+    }
+
+    /// Time goes on: bins that are over end.
+    pub fn advance(&mut self, now: Micros) {
+        while now >= self.bin_ends {
+            self.end_bin();
+        }
+    }
+
+    /// What all nodes sent since the reset.
+    pub fn total(&self) -> Traffic {
+        self.sent
+    }
+
+    /// Rates since the reset.
+    pub fn rates(&self, now: Micros) -> TrafficRates {
+        let seconds = (now.saturating_sub(self.reset_at) as f64 / SECOND as f64).max(1.0);
+        let nodes = self.nodes.len().max(1) as f64;
+        TrafficRates {
+            bytes_per_s: self.sent.bytes as f64 / seconds / nodes,
+            datagrams_per_s: self.sent.datagrams as f64 / seconds / nodes,
+            peak_bytes_per_s: self.peaks.sent.bytes as f64 / WINDOW_S,
+            peak_datagrams_per_s: self.peaks.sent.datagrams as f64 / WINDOW_S,
+            peak_received_bytes_per_s: self.peaks.received_bytes as f64 / WINDOW_S,
+            peak_mean_bytes_per_s: self.peaks.sent_by_all as f64 / WINDOW_S / nodes,
+        }
+    }
+
+    fn open_bin(&self) -> usize {
+        self.ended % BINS
+    }
+
+    fn end_bin(&mut self) {
+        self.ended += 1;
+        self.bin_ends += BIN;
+        if self.ended >= BINS {
+            self.note_peaks();
+        }
+        let bin = self.open_bin();
+        for node in &mut self.nodes {
+            node.sent.reopen(bin);
+            node.received.reopen(bin);
+        }
+    }
+
+    fn note_peaks(&mut self) {
+        let mut all = 0;
+        for node in &self.nodes {
+            all += node.sent.sum.bytes;
+            self.peaks.sent.bytes = self.peaks.sent.bytes.max(node.sent.sum.bytes);
+            self.peaks.sent.datagrams = self.peaks.sent.datagrams.max(node.sent.sum.datagrams);
+            self.peaks.received_bytes = self.peaks.received_bytes.max(node.received.sum.bytes);
+        }
+        self.peaks.sent_by_all = self.peaks.sent_by_all.max(all);
+    }
+}
+
+#[cfg(test)]
+mod tests;
