--- a/lab/src/cluster/mod.rs
+++ b/lab/src/cluster/mod.rs
@@ -2,12 +2,14 @@
 
 pub mod cases;
 mod links;
+mod processor;
 mod record;
 mod simulated;
 mod topology;
 mod traffic;
 
 pub use links::LinkConditions;
+pub use processor::ProcessorMeter;
 pub use record::{AgreementChange, StandingChange};
 pub use simulated::{address, SimulatedCluster};
 pub use topology::{Location, Topology};
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -13,6 +13,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use walkpick_lab::cluster::cases::NotApplicable;
 use walkpick_lab::commands::{membership, UnknownName};
 use walkpick_lab::experiment::{self, Arm, Driver, Experiment, ExperimentError, Policy, What};
 use walkpick_lab::judge::{self, Result as Run};
@@ -204,6 +205,7 @@
             match error.downcast_ref::<ExperimentError>() {
                 Some(_) => ExitCode::from(BAD_INPUT),
                 None if error.downcast_ref::<UnknownName>().is_some() => ExitCode::from(BAD_INPUT),
+                None if error.downcast_ref::<NotApplicable>().is_some() => ExitCode::from(BAD_INPUT),
                 None => ExitCode::FAILURE,
             }
         }
