Experiments of scale: a kind for each top-level table, and [membership] the first

Files with a table [membership] beside name, about and [[check]] run by walkpick-lab run, list and explain. A kind has its table, its reader, its figures and a run (lab/src/scale/, one line in KINDS); checks hold a figure within bounds in every run, or its spread over all of them. All that is wrong in a file is told at once with place, found and expected, exit 2.

The test of the shipped experiments reads each file as one sort or the other and asks the same of both: it can be read, and it has a check.

--- a/lab/src/commands/mod.rs
+++ b/lab/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands of the lab's program, each in a module of its own.
 
 pub mod membership;
+pub mod scale;
 
 /// A name that the command line gave and that is not known.
 #[derive(Debug, thiserror::Error)]
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod policies;
 pub mod real;
 pub mod report;
+pub mod scale;
 pub mod world;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -14,10 +14,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use walkpick_lab::cluster::cases::NotApplicable;
-use walkpick_lab::commands::{membership, UnknownName};
+use walkpick_lab::commands::{membership, scale, UnknownName};
 use walkpick_lab::experiment::{self, Arm, Driver, Experiment, ExperimentError, Policy, What};
 use walkpick_lab::judge::{self, Result as Run};
 use walkpick_lab::real::{self, process, Options, RealError};
+use walkpick_lab::scale::{RunOptions, ScaleExperiment};
 use walkpick_lab::world::World;
 use walkpick_lab::{model, report};
 
@@ -317,7 +318,26 @@
     }
 }
 
+fn run_scale(experiment: &ScaleExperiment, args: &RunArgs) -> Done {
+    if args.arm.is_some() || args.report.is_some() || args.how.driver.is_some() {
+        let found = "--arm, --report or --driver".to_owned();
+        let expected = format!("none of them with an experiment that has [{}]", experiment.kind.table);
+        return Err(UnknownName { found, expected }.into());
+    }
+    let options = RunOptions {
+        seeds: args.seed..args.seed + args.seeds,
+        jobs: args.jobs,
+        node: args.how.node.clone(),
+        logs: args.how.logs.clone(),
+        lateness: args.how.lateness,
+    };
+    scale::run(experiment, &options, args.json.as_deref())
+}
+
 fn run(args: &RunArgs) -> Done {
+    if let Some(experiment) = ScaleExperiment::load(&args.file)? {
+        return run_scale(&experiment, args);
+    }
     let experiment = Experiment::load(&args.file)?;
     let arms = match &args.arm {
         Some(arm) => vec![known_arm(&experiment, arm)?],
@@ -560,6 +580,17 @@
     files.sort();
     let mut out = io::stdout().lock();
     for path in files.iter().filter(|path| path.extension().is_some_and(|end| end == "toml")) {
+        match ScaleExperiment::load(path) {
+            Ok(Some(experiment)) => {
+                writeln!(out, "{:24} {}", experiment.name, experiment.about)?;
+                continue;
+            }
+            Err(error) => {
+                writeln!(out, "{:24} cannot be run: {error}", path.display())?;
+                continue;
+            }
+            Ok(None) => {}
+        }
         match Experiment::load(path) {
             Ok(experiment) => writeln!(out, "{:24} {}", experiment.name, experiment.about)?,
             Err(error) => writeln!(out, "{:24} cannot be run: {error}", path.display())?,
@@ -569,6 +600,9 @@
 }
 
 fn explain(file: &Path) -> Result<(), Box<dyn Error>> {
+    if let Some(experiment) = ScaleExperiment::load(file)? {
+        return scale::explain(&experiment);
+    }
     let experiment = Experiment::load(file)?;
     let mut out = io::stdout().lock();
     writeln!(out, "{}: {}\n\n{}", experiment.name, experiment.about, toml::to_string_pretty(&experiment)?)?;
--- /dev/null
+++ b/lab/src/scale/check.rs
@@ -0,0 +1,144 @@
+//! Checks: a figure within bounds in every run, or its spread over all of them.
+
+use super::{FigureMeaning, ScaleRun, TableReader};
+use crate::experiment::Fault;
+use serde::Serialize;
+
+/// What has to hold.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ScaleCheck {
+    /// What it is called.
+    pub name: String,
+    /// The figure.
+    pub figure: String,
+    /// The group of runs that it is about; all where it is missing.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub group: Option<String>,
+    /// In every run it is no less than this.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub at_least: Option<f64>,
+    /// In every run it is no more than this.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub at_most: Option<f64>,
+    /// The largest over the smallest of all runs is no more than this.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub spread_at_most: Option<f64>,
+}
+
+/// Whether a check held, in words as well.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct CheckOutcome {
+    /// The check's name.
+    pub name: String,
+    /// What it was held against.
+    pub of: String,
+    /// What was found and what was expected.
+    pub found: String,
+    /// Whether it held.
+    pub holds: bool,
+}
+
+fn is_in(groups: &[String], group: &Option<String>) -> bool {
+    group.as_ref().is_none_or(|group| groups.contains(group))
+}
+
+const KEYS: [&str; 6] = ["name", "figure", "group", "at_least", "at_most", "spread_at_most"];
+
+impl ScaleCheck {
+    /// Reads one `[[check]]`.
+    ///
+    /// `groups`: those that there are; none where nobody can tell, as the kind's own table has faults.
+    pub fn read(
+        mut reader: TableReader,
+        figures: &[FigureMeaning],
+        groups: Option<&[String]>,
+    ) -> Option<Self> {
+        reader.only(&KEYS);
+        let check = Self {
+            name: reader.required("name", "a text").unwrap_or_default(),
+            figure: reader.required("figure", "the name of a figure").unwrap_or_default(),
+            group: reader.optional("group", "a text"),
+            at_least: reader.optional("at_least", "a number"),
+            at_most: reader.optional("at_most", "a number"),
+            spread_at_most: reader.optional("spread_at_most", "a number"),
+        };
+        let names: Vec<_> = figures.iter().map(|figure| figure.name).collect();
+        if reader.has("figure") && !names.contains(&check.figure.as_str()) {
+            reader.fault("figure", &format!("\"{}\"", check.figure), &format!("one of {}", names.join(", ")));
+        }
+        if let (Some(group), Some(groups)) =
+            (&check.group, groups.filter(|groups| !is_in(groups, &check.group)))
+        {
+            reader.fault("group", &format!("\"{group}\""), &format!("one of {}", groups.join(", ")));
+        }
+        if check.at_least.or(check.at_most).or(check.spread_at_most).is_none() {
+            reader.fault("bound", "none", "at_least, at_most or spread_at_most");
+        }
+        reader.is_good().then_some(check)
+    }
+
+    /// Holds it against runs. A figure that was not reached breaks its check; a void run is no ground to judge on.
+    pub fn judge(&self, runs: &[ScaleRun]) -> Vec<CheckOutcome> {
+        let mine: Vec<_> = runs.iter().filter(|run| self.covers(run)).collect();
+        let mut outcomes: Vec<_> = mine.iter().filter_map(|run| self.judge_run(run)).collect();
+        outcomes.extend(self.judge_spread(&mine));
+        outcomes
+    }
+
+    fn covers(&self, run: &ScaleRun) -> bool {
+        run.void.is_none() && self.group.as_ref().is_none_or(|group| *group == run.group)
+    }
+
+    fn judge_run(&self, run: &ScaleRun) -> Option<CheckOutcome> {
+        if self.at_least.is_none() && self.at_most.is_none() {
+            return None;
+        }
+        let value = run.figures.get(self.figure.as_str()).copied();
+        let holds = value.is_some_and(|value| {
+            self.at_least.is_none_or(|least| value >= least) && self.at_most.is_none_or(|most| value <= most)
+        });
+        let found = value.map_or_else(|| "not reached".to_owned(), |value| format!("{value:.4}"));
+        let bounds = [("at least", self.at_least), ("at most", self.at_most)];
+        let bounds: Vec<_> =
+            bounds.iter().filter_map(|(word, bound)| bound.map(|bound| format!("{word} {bound}"))).collect();
+        Some(CheckOutcome {
+            name: self.name.clone(),
+            of: format!("{}, seed {}", run.label, run.seed),
+            found: format!("{} {found}, expected {}", self.figure, bounds.join(" and ")),
+            holds,
+        })
+    }
+
+    fn judge_spread(&self, runs: &[&ScaleRun]) -> Option<CheckOutcome> {
+        let most = self.spread_at_most?;
+        let values: Vec<_> = runs.iter().map(|run| run.figures.get(self.figure.as_str()).copied()).collect();
+        let reached: Vec<f64> = values.iter().copied().flatten().collect();
+        let largest = reached.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+        let smallest = reached.iter().copied().fold(f64::INFINITY, f64::min);
+        let spread = largest / smallest;
+        let holds = !reached.is_empty() && reached.len() == values.len() && spread <= most;
+        Some(CheckOutcome {
+            name: self.name.clone(),
+            of: format!("{} runs", values.len()),
+            found: format!(
+                "{} from {smallest:.4} to {largest:.4}, {spread:.3} times, expected at most {most} times",
+                self.figure
+            ),
+            holds,
+        })
+    }
+}
+
+/// A name that more than one check has: outcomes could not be told apart.
+pub(super) fn double_names(checks: &[toml::Value]) -> Vec<Fault> {
+    let names: Vec<_> = checks.iter().map(|check| check.get("name").and_then(toml::Value::as_str)).collect();
+    let is_double = |place: usize| names[place].is_some() && names[..place].contains(&names[place]);
+    let fault = |place: usize| Fault {
+        place: format!("check {}: name", place + 1),
+        what: format!(
+            "found \"{}\" a second time, expected a name of its own",
+            names[place].unwrap_or_default()
+        ),
+    };
+    (0..names.len()).filter(|place| is_double(*place)).map(fault).collect()
+}
--- /dev/null
+++ b/lab/src/scale/membership.rs
@@ -0,0 +1,132 @@
+//! The kind `[membership]`: cases of membership in simulated time, at several sizes.
+
+use super::{FigureMeaning, Kind, RunOptions, ScaleKind, ScaleRun, TableReader};
+use crate::cluster::cases::{run_all, Case, CaseOutcome, Play, ALL_CASES, FIGURES};
+use crate::cluster::Topology;
+use crate::model::{micros, SECOND};
+use indicatif::ProgressBar;
+use serde::Serialize;
+use std::error::Error;
+use std::time::Duration;
+
+/// All combinations of these are played.
+#[derive(Clone, Debug, Serialize)]
+pub struct MembershipExperiment {
+    /// What happens.
+    pub cases: Vec<Case>,
+    /// Numbers of nodes.
+    pub nodes: Vec<usize>,
+    /// Parts of the datagrams that are lost.
+    pub loss: Vec<f64>,
+    /// The network.
+    pub topology: Topology,
+    /// From the time when all have joined to the beginning of a case.
+    #[serde(with = "humantime_serde")]
+    pub settle: Duration,
+    /// How long nothing happens in the case of rest.
+    #[serde(with = "humantime_serde")]
+    pub rest: Duration,
+}
+
+/// By then what joining leaves behind is over.
+const SETTLE: Duration = Duration::from_secs(30);
+const REST: Duration = Duration::from_secs(30);
+const KEYS: [&str; 6] = ["cases", "nodes", "loss", "topology", "settle", "rest"];
+
+impl MembershipExperiment {
+    /// The kind `[membership]`.
+    pub const KIND: Kind = Kind { table: "membership", read: Self::read, figures };
+
+    fn read(mut reader: TableReader) -> Option<Box<dyn ScaleKind>> {
+        reader.only(&KEYS);
+        let names: Vec<_> = ALL_CASES.iter().map(|case| case.name()).collect();
+        let cases = reader.required("cases", &format!("a list of {}", names.join(", ")));
+        let read = Self {
+            cases: cases.unwrap_or_default(),
+            nodes: reader.required("nodes", "a list of numbers").unwrap_or_default(),
+            loss: reader.optional("loss", "a list of parts from 0 to 1").unwrap_or_else(|| vec![0.0]),
+            topology: reader.optional("topology", "one of flat, regions").unwrap_or_default(),
+            settle: reader.duration("settle").unwrap_or(SETTLE),
+            rest: reader.duration("rest").unwrap_or(REST),
+        };
+        read.tell_faults(&mut reader);
+        reader.is_good().then(|| Box::new(read) as Box<dyn ScaleKind>)
+    }
+
+    fn tell_faults(&self, reader: &mut TableReader) {
+        let lists = [("cases", self.cases.len()), ("nodes", self.nodes.len()), ("loss", self.loss.len())];
+        for (key, _) in lists.iter().filter(|(_, length)| *length == 0) {
+            if reader.has(key) && reader.is_good() {
+                reader.fault(key, "an empty list", "one value and more");
+            }
+        }
+        for nodes in &self.nodes {
+            reader.within("nodes", *nodes as f64, 2.0, 20_000.0);
+        }
+        for loss in &self.loss {
+            reader.within("loss", *loss, 0.0, 0.9);
+        }
+        reader.within("settle", self.settle.as_secs_f64(), 0.0, 3_600.0);
+        reader.within("rest", self.rest.as_secs_f64(), 1.0, 86_400.0);
+        // Of one case the smallest size tells it.
+        for case in &self.cases {
+            let refused =
+                self.nodes.iter().min().and_then(|nodes| self.play(*case, *nodes, 0.0, 0).check().err());
+            if let Some(refused) = refused.filter(|refused| refused.nodes >= 2) {
+                let expected = format!("{} and more for {}", refused.expected, case.name());
+                reader.fault("nodes", &refused.nodes.to_string(), &expected);
+            }
+        }
+    }
+
+    fn play(&self, case: Case, nodes: usize, loss: f64, seed: u64) -> Play {
+        let (settle, rest) = (micros(self.settle), micros(self.rest).max(SECOND));
+        Play { case, nodes, loss, topology: self.topology, seed, settle, rest }
+    }
+
+    fn plays(&self, options: &RunOptions) -> Vec<Play> {
+        let mut plays = Vec::new();
+        for case in &self.cases {
+            for nodes in &self.nodes {
+                for loss in &self.loss {
+                    plays.extend(options.seeds.clone().map(|seed| self.play(*case, *nodes, *loss, seed)));
+                }
+            }
+        }
+        plays
+    }
+}
+
+impl ScaleKind for MembershipExperiment {
+    fn groups(&self) -> Vec<String> {
+        self.cases.iter().map(|case| case.name()).collect()
+    }
+
+    fn settings(&self) -> Result<toml::Value, toml::ser::Error> {
+        toml::Value::try_from(self)
+    }
+
+    fn run(&self, options: &RunOptions) -> Result<Vec<ScaleRun>, Box<dyn Error>> {
+        let plays = self.plays(options);
+        let bar = ProgressBar::new(plays.len() as u64);
+        let outcomes = run_all(&plays, options.simulated_jobs(), || bar.inc(1))?;
+        bar.finish_and_clear();
+        Ok(outcomes.iter().map(as_run).collect())
+    }
+}
+
+fn figures() -> Vec<FigureMeaning> {
+    FIGURES.iter().map(|figure| FigureMeaning { name: figure.name, meaning: figure.meaning }).collect()
+}
+
+fn as_run(outcome: &CaseOutcome) -> ScaleRun {
+    let Play { case, nodes, loss, topology, seed, .. } = outcome.play;
+    let figures = FIGURES.iter().filter_map(|figure| (figure.of)(outcome).map(|value| (figure.name, value)));
+    ScaleRun {
+        label: format!("{}, {nodes} nodes, loss {loss}, {}", case.name(), topology.name()),
+        group: case.name(),
+        seed,
+        figures: figures.collect(),
+        void: None,
+    }
+}
--- a/lab/src/tests.rs
+++ b/lab/src/tests.rs
@@ -13,20 +13,34 @@
     super::play(experiment, arms, seeds, jobs, &virtually()).unwrap()
 }
 
-fn shipped() -> Vec<Experiment> {
+/// Every shipped file is an experiment of one sort or the other.
+fn shipped_of_both_sorts() -> (Vec<Experiment>, Vec<ScaleExperiment>) {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments");
-    let files = std::fs::read_dir(folder).unwrap().map(|file| file.unwrap().path());
-    let read = files.map(|path| Experiment::load(&path).unwrap_or_else(|error| panic!("{error}")));
-    read.collect()
+    let (mut experiments, mut of_scale) = (Vec::new(), Vec::new());
+    for path in std::fs::read_dir(folder).unwrap().map(|file| file.unwrap().path()) {
+        match ScaleExperiment::load(&path).unwrap_or_else(|error| panic!("{error}")) {
+            Some(experiment) => of_scale.push(experiment),
+            None => experiments.push(Experiment::load(&path).unwrap_or_else(|error| panic!("{error}"))),
+        }
+    }
+    (experiments, of_scale)
+}
+
+fn shipped() -> Vec<Experiment> {
+    shipped_of_both_sorts().0
 }
 
 #[test]
 fn every_shipped_experiment_can_be_read_and_can_fall_short() {
-    let all = shipped();
+    let (all, of_scale) = shipped_of_both_sorts();
     assert!(all.len() >= 9);
     for experiment in all {
         assert!(!experiment.check.is_empty(), "{} has no check", experiment.name);
     }
+    assert!(!of_scale.is_empty());
+    for experiment in of_scale {
+        assert!(!experiment.checks.is_empty(), "{} has no check", experiment.name);
+    }
 }
 
 // Guards against a judge that sees nothing: each arm that is broken on purpose is caught, the program is not.
--- a/lab/tests/cli.rs
+++ b/lab/tests/cli.rs
@@ -80,3 +80,34 @@
     let missing = lab(&["run", "no/such/file.toml"]);
     assert_eq!(missing.status.code(), Some(2), "{}", out(&missing));
 }
+
+#[test]
+fn an_experiment_of_scale_is_run_explained_listed_and_its_faults_are_told() {
+    let folder = Folder::new("scale");
+    let path = |name: &str| folder.0.join(name).display().to_string();
+    let text = "name = \"tiny\"\nabout = \"a few peers at rest\"\n\
+        [membership]\ncases = [\"rest\"]\nnodes = [4]\nsettle = \"1s\"\nrest = \"6s\"\n\
+        [[check]]\nname = \"quiet\"\nfigure = \"bytes_per_s\"\nat_most = 1000\n";
+    std::fs::write(path("tiny.toml"), text).unwrap();
+    let ran = lab(&["run", &path("tiny.toml"), "--seeds", "2", "--json", &path("out.json")]);
+    assert_eq!(ran.status.code(), Some(0), "{}", out(&ran));
+    assert_eq!(out(&ran).matches(": holds").count(), 2, "{}", out(&ran));
+    let written: Value = serde_json::from_str(&std::fs::read_to_string(path("out.json")).unwrap()).unwrap();
+    assert_eq!(written["runs"].as_array().map(Vec::len), Some(2));
+    assert_eq!(written["settings"]["loss"][0], 0.0, "what the file leaves out is written too");
+    let explained = lab(&["explain", &path("tiny.toml")]);
+    assert!(out(&explained).contains("settle = \"1s\"") && out(&explained).contains("peak_bytes_per_s"));
+    assert!(out(&lab(&["list", &folder.0.display().to_string()]))
+        .contains("tiny                     a few peers"));
+    // One that does not hold ends with 1, one that makes no sense with 2.
+    std::fs::write(path("tiny.toml"), text.replace("at_most = 1000", "at_most = 1")).unwrap();
+    let ran = lab(&["run", &path("tiny.toml")]);
+    assert_eq!(ran.status.code(), Some(1), "{}", out(&ran));
+    assert!(out(&ran).contains("FALLS SHORT"), "{}", out(&ran));
+    std::fs::write(path("tiny.toml"), text.replace("nodes = [4]", "nodes = [1]\nsize = 3")).unwrap();
+    let ran = lab(&["run", &path("tiny.toml")]);
+    assert_eq!(ran.status.code(), Some(2), "{}", out(&ran));
+    for part in ["tiny.toml: membership: size: found an unknown key", "nodes: found 1, expected 2 to 20000"] {
+        assert!(out(&ran).contains(part), "{}", out(&ran));
+    }
+}
