Peers: membership in small modules behind a thin facade, with standard names

It moves to src/peers/membership/: settings, engine effects, farewells, timer queue, joining, view, agreement, name conflicts, datagram admission, each with its own state; Peers keeps its interface and hands datagrams on. Renamed: Asked to EngineEffects, Heard to ReportedDigest, look to review, stands to set_standing, carry_out to apply, ask_some to ask_for_lists, differ to disagree_since.

--- /dev/null
+++ b/src/peers/membership/agreement.rs
@@ -0,0 +1,179 @@
+//! How far the views of those that are heard lie apart.
+
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use crate::peers::Micros;
+
+/// What a peer said of its view counts for so long.
+const FRESH: Micros = 5_000_000;
+/// A view is agreed when nothing spoke against it for so long.
+pub(super) const SETTLED: Micros = 1_000_000;
+/// A view is agreed with this part of its nodes suspected, or one: where datagrams are lost somebody always is.
+const FEW_SUSPECTS: f64 = 0.1;
+/// Views that differ for longer are split.
+const SPLIT_AFTER: Micros = 10_000_000;
+
+/// How far the views of those that are heard lie apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Agreement {
+    /// All that are heard have the same view, and nobody is suspected.
+    Agreed,
+    /// They differ, or somebody is suspected, and not for long.
+    Converging,
+    /// They differ for long, or half of the nodes are gone without a word: this one may be cut off.
+    Split,
+}
+
+/// What a peer said of its view.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReportedDigest {
+    pub at: Micros,
+    pub digest: u64,
+}
+
+/// What a review needs to know of the members.
+pub(super) struct MemberCounts {
+    /// Nodes that are present, itself among them.
+    pub nodes: u32,
+    pub suspected: usize,
+    pub lost: usize,
+}
+
+/// Follows what peers say of their views.
+pub(super) struct AgreementTracker {
+    reported: HashMap<SocketAddr, ReportedDigest>,
+    /// Of the node's own view.
+    digest: u64,
+    /// Since when its view is what it is.
+    unchanged_since: Micros,
+    /// Since when views disagree.
+    disagree_since: Option<Micros>,
+    agreement: Agreement,
+    /// Since when that is so.
+    since: Micros,
+    /// The largest number of nodes of late, and until when it is remembered.
+    largest: (u32, Micros),
+    /// For so long.
+    memory: Micros,
+}
+
+impl AgreementTracker {
+    pub fn new(now: Micros, memory: Micros) -> Self {
+        Self {
+            reported: HashMap::new(),
+            digest: 0,
+            unchanged_since: now,
+            disagree_since: Some(now),
+            agreement: Agreement::Converging,
+            since: now,
+            largest: (1, 0),
+            memory,
+        }
+    }
+
+    pub fn agreement(&self) -> Agreement {
+        self.agreement
+    }
+
+    /// For how long.
+    pub fn lasts(&self, now: Micros) -> Micros {
+        now.saturating_sub(self.since)
+    }
+
+    /// Whether views have come together.
+    pub fn is_agreed(&self) -> bool {
+        self.disagree_since.is_none()
+    }
+
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// The node's own view is this now.
+    pub fn set_view(&mut self, now: Micros, digest: u64, nodes: u32) {
+        if digest != self.digest {
+            (self.digest, self.unchanged_since) = (digest, now);
+        }
+        if nodes >= self.largest.0 || now >= self.largest.1 {
+            self.largest = (nodes, now + self.memory);
+        }
+    }
+
+    /// A peer said what its view is.
+    pub fn report(&mut self, now: Micros, from: SocketAddr, digest: u64) {
+        self.reported.insert(from, ReportedDigest { at: now, digest });
+    }
+
+    /// What a peer said no longer counts.
+    pub fn forget(&mut self, peer: &SocketAddr) {
+        self.reported.remove(peer);
+    }
+
+    /// The process stood still: what it heard before says nothing.
+    pub fn after_sleep(&mut self, now: Micros) {
+        self.reported.clear();
+        self.unchanged_since = now;
+    }
+
+    /// Peers whose view differed when they were last heard, at the latest at `until`.
+    pub fn differing_until(&self, until: Micros) -> Vec<SocketAddr> {
+        let differing = |(_, said): &(_, &ReportedDigest)| said.digest != self.digest && said.at <= until;
+        self.reported.iter().filter(differing).map(|(address, _)| *address).collect()
+    }
+
+    /// Digests of others that differ, with those that have them.
+    pub fn differing(&self, now: Micros) -> BTreeMap<u64, Vec<SocketAddr>> {
+        let mut differing: BTreeMap<u64, Vec<SocketAddr>> = BTreeMap::new();
+        let fresh = self.reported.iter().filter(|(_, said)| now < said.at + FRESH);
+        for (address, said) in fresh.filter(|(_, said)| said.digest != self.digest) {
+            differing.entry(said.digest).or_default().push(*address);
+        }
+        differing.values_mut().for_each(|addresses| addresses.sort());
+        differing
+    }
+
+    /// Looks at how far views lie apart now; what it tells where that is news.
+    pub fn review(&mut self, now: Micros, members: &MemberCounts) -> Option<Agreement> {
+        self.reported.retain(|_, said| now < said.at + FRESH);
+        if self.speaks_against(now, members) {
+            self.disagree_since.get_or_insert(now);
+        } else {
+            self.disagree_since = None;
+        }
+        if now >= self.largest.1 {
+            self.largest = (members.nodes, now + self.memory);
+        }
+        let agreement = match self.disagree_since {
+            _ if self.may_be_cut_off(members) => Agreement::Split,
+            None => Agreement::Agreed,
+            Some(since) if now < since + SPLIT_AFTER => Agreement::Converging,
+            Some(_) => Agreement::Split,
+        };
+        if agreement == self.agreement {
+            return None;
+        }
+        (self.agreement, self.since) = (agreement, now);
+        Some(agreement)
+    }
+
+    fn speaks_against(&self, now: Micros, members: &MemberCounts) -> bool {
+        let since = self.unchanged_since;
+        // What was said before this view was is no word against it.
+        let mut later = self.reported.values().filter(|said| said.at >= since).peekable();
+        let heard = later.peek().is_some();
+        let differs = later.any(|said| said.digest != self.digest);
+        // Alone, it agrees with itself: with those that it lost it does not.
+        let quiet = (heard || members.nodes <= 1) && now >= since + SETTLED;
+        let doubts = members.suspected as f64 > FEW_SUSPECTS * f64::from(members.nodes);
+        differs || doubts || !quiet
+    }
+
+    /// With no more than half of those that were there lately, it may be the one cut off.
+    fn may_be_cut_off(&self, members: &MemberCounts) -> bool {
+        let largest = self.largest.0;
+        members.lost as u32 >= largest.div_ceil(2) && members.nodes * 2 <= largest
+    }
+}
--- /dev/null
+++ b/src/peers/membership/engine.rs
@@ -0,0 +1,58 @@
+//! What the engine asks for in one call, gathered; its notifications as typed changes.
+
+use foca::{Foca, Notification, PostcardCodec, Runtime, Timer};
+use rand::rngs::SmallRng;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::farewells::Farewells;
+use crate::peers::identity::Peer;
+
+/// The SWIM engine.
+pub(super) type Engine = Foca<Peer, PostcardCodec, SmallRng, Farewells>;
+
+/// A message of the engine to a peer.
+pub(super) struct EngineMessage {
+    pub to: SocketAddr,
+    pub payload: Vec<u8>,
+}
+
+/// What the engine asks for, as it comes.
+#[derive(Default)]
+pub(super) struct EngineEffects {
+    pub messages: Vec<EngineMessage>,
+    pub timers: Vec<(Duration, Timer<Peer>)>,
+    pub up: Vec<Peer>,
+    pub down: Vec<Peer>,
+    /// New identities of addresses that had another one.
+    pub replaced: Vec<Peer>,
+    /// Others had declared this process gone: it has another identity now.
+    pub rejoined: bool,
+}
+
+impl EngineEffects {
+    /// Whether anything changed in who is there.
+    pub fn changes_members(&self) -> bool {
+        !(self.up.is_empty() && self.down.is_empty() && self.replaced.is_empty()) || self.rejoined
+    }
+}
+
+impl Runtime<Peer> for EngineEffects {
+    fn notify(&mut self, notification: Notification<'_, Peer>) {
+        match notification {
+            Notification::MemberUp(peer) => self.up.push(peer.clone()),
+            Notification::MemberDown(peer) => self.down.push(peer.clone()),
+            Notification::Rename(_, after) => self.replaced.push(after.clone()),
+            Notification::Rejoin(_) => self.rejoined = true,
+            _ => {}
+        }
+    }
+
+    fn send_to(&mut self, to: Peer, data: &[u8]) {
+        self.messages.push(EngineMessage { to: to.address, payload: data.to_vec() });
+    }
+
+    fn submit_after(&mut self, event: Timer<Peer>, after: Duration) {
+        self.timers.push((after, event));
+    }
+}
--- /dev/null
+++ b/src/peers/membership/joining/tests.rs
@@ -0,0 +1,31 @@
+use super::*;
+
+fn address(host: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host], 7_946))
+}
+
+#[test]
+fn one_alone_asks_seeds_and_those_it_knew_with_longer_and_longer_waits() {
+    let mut joining = Joining::new(vec![address(1), address(2)]);
+    joining.remember(address(3));
+    let mut random = fastrand::Rng::with_seed(1);
+    let mut nominal = Duration::from_millis(500);
+    for _ in 0..8 {
+        let attempt = joining.attempt(address(1), true, |_| false, &mut random);
+        let mut addresses = attempt.addresses;
+        addresses.sort();
+        assert_eq!(addresses, [address(2), address(3)]);
+        assert!((nominal / 2..nominal * 3 / 2).contains(&attempt.wait), "{:?}", attempt.wait);
+        nominal = (nominal * 2).min(LONGEST_WAIT);
+    }
+}
+
+#[test]
+fn in_company_absent_seeds_alone_are_asked() {
+    let mut joining = Joining::new(vec![address(1), address(2)]);
+    joining.remember(address(3));
+    let mut random = fastrand::Rng::with_seed(1);
+    let attempt = joining.attempt(address(9), false, |there| *there == address(1), &mut random);
+    assert_eq!(attempt.addresses, [address(2)]);
+    assert!(attempt.wait >= WAIT_IN_COMPANY / 2);
+}
--- /dev/null
+++ b/src/peers/membership/settings.rs
@@ -0,0 +1,84 @@
+//! How a peer takes part, and the engine's settings that follow from it.
+
+use std::net::SocketAddr;
+use std::num::{NonZeroU8, NonZeroUsize};
+use std::time::Duration;
+
+use super::count::CountRules;
+use crate::peers::envelope;
+
+/// With more than this part of its nodes suspected, a node trusts its own eyes less: suspects have longer to speak up, as
+/// those that could vouch for them are missing too (Lifeguard's local health: Dadgar, Phillips, Currey, 2018).
+const MANY_SUSPECTS: f64 = 0.1;
+/// By so many times.
+const MANY_SUSPECTS_PATIENCE: f64 = 3.0;
+/// The largest message of the engine.
+pub(super) const LARGEST_PAYLOAD: usize = envelope::LARGEST - envelope::OVERHEAD;
+
+/// How a peer takes part.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeersConfig {
+    /// Datagrams of another cluster are dropped.
+    pub cluster: String,
+    /// Where others may be found; any of them may be down.
+    pub seeds: Vec<SocketAddr>,
+    /// Each peer probes another one this often.
+    pub probe_every: Duration,
+    /// An answer that takes longer is asked for by way of others; at the most half of `probe_every`.
+    pub probe_timeout: Duration,
+    /// Suspects have this many times `probe_every`, and more the more peers there are, to speak up.
+    pub suspicion: f64,
+    /// When fewer nodes may be believed.
+    pub count: CountRules,
+    /// The configured number of nodes.
+    pub nodes: u32,
+}
+
+impl Default for PeersConfig {
+    fn default() -> Self {
+        Self {
+            cluster: "walkpick".to_owned(),
+            seeds: Vec::new(),
+            probe_every: Duration::from_millis(400),
+            probe_timeout: Duration::from_millis(180),
+            suspicion: 3.0,
+            count: CountRules::default(),
+            nodes: 1,
+        }
+    }
+}
+
+impl PeersConfig {
+    /// The engine's settings in a cluster of so many.
+    pub(super) fn engine(&self, peers: usize, suspects: usize) -> foca::Config {
+        // Rounds until all have heard grow with the logarithm of their number (SWIM, section 4.1).
+        let rounds = (peers.max(2) as f64).log10().max(1.0);
+        let many = suspects as f64 > MANY_SUSPECTS * peers as f64;
+        let patience = if many { MANY_SUSPECTS_PATIENCE } else { 1.0 };
+        let suspect_for = self.probe_every.mul_f64(self.suspicion * rounds * patience);
+        let transmissions = (3.0 * (peers.max(2) as f64).log2().max(2.0)).min(64.0) as u8;
+        foca::Config {
+            probe_period: self.probe_every,
+            probe_rtt: self.probe_timeout,
+            num_indirect_probes: number(3),
+            max_transmissions: NonZeroU8::new(transmissions).unwrap_or(NonZeroU8::MIN),
+            suspect_to_down_after: suspect_for,
+            remove_down_after: Some(Duration::from_secs(600)),
+            max_packet_size: number(LARGEST_PAYLOAD),
+            notify_down_members: true,
+            // What was lost on the way is repaired by whole lists, from one peer at a time.
+            periodic_announce: periodic(Duration::from_secs(5), 1),
+            // What was cut off is looked for.
+            periodic_announce_to_down_members: periodic(Duration::from_secs(2), 3),
+            periodic_gossip: periodic(self.probe_every / 2, 3),
+        }
+    }
+}
+
+fn number(number: usize) -> NonZeroUsize {
+    NonZeroUsize::new(number).unwrap_or(NonZeroUsize::MIN)
+}
+
+fn periodic(every: Duration, width: usize) -> Option<foca::PeriodicParams> {
+    Some(foca::PeriodicParams { frequency: every, num_members: number(width) })
+}
