Peers: typed extensions in the envelope (schema 2), and where a node runs

Need: what shares the membership's socket needs a place in its datagrams, and an overlay needs to know regions and zones. - The envelope's `more` holds extensions, each with its kind and length: later kinds are passed over. A datagram without an engine message is legal in it, begins with its sender's life, and tells that one's digest; it is sent only to peers that were heard with schema 2, as schema 1 counts it as malformed. - walkpick.peers.region, .zone and .site (texts up to 16 bytes) ride in the identity's `more`; Peer::location() reads them. Without them identities stay as long as they were. Tests: extensions' round trip, later kinds, garbage, schema 1; datagrams without the engine; a location's bytes.

--- a/src/main.rs
+++ b/src/main.rs
@@ -91,7 +91,8 @@
         None => None,
         Some(listen) => {
             let (config, advertise) = (section.peers.of(settings.nodes), section.peers.advertise);
-            let opened = Peering::open(listen, advertise, config, &name, false, seed).await;
+            let location = section.peers.location();
+            let opened = Peering::open(listen, advertise, config, &name, &location, false, seed).await;
             let opened = opened.map_err(|error| format!("cannot listen on {listen} for peers: {error}"))?;
             info!(target: "peers", address = %opened.address(), "node {name} meets its peers");
             Some(opened)
--- a/src/members.rs
+++ b/src/members.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use tokio::runtime;
 use tokio::time::{sleep_until, Instant};
-use walkpick::peers::{Agreement, PeersConfig, Standing, View};
+use walkpick::peers::{Agreement, Location, PeersConfig, Standing, View};
 
 #[derive(Debug, Args)]
 pub struct Members {
@@ -50,7 +50,8 @@
         let config =
             PeersConfig { cluster: self.cluster.clone(), seeds: self.seed.clone(), ..PeersConfig::default() };
         let name = format!("observer-{}", std::process::id());
-        let mut peering = Peering::open(self.listen, None, config, &name, true, fastrand::u64(..)).await?;
+        let (nowhere, seed) = (Location::default(), fastrand::u64(..));
+        let mut peering = Peering::open(self.listen, None, config, &name, &nowhere, true, seed).await?;
         let (end, mut told) = (Instant::now() + self.within, Vec::new());
         loop {
             let over = tokio::select! {
--- a/src/net/config/section.rs
+++ b/src/net/config/section.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
-use walkpick::peers::{CountRules, PeersConfig};
+use walkpick::peers::{CountRules, Location, PeersConfig};
 
 /// The section, with a default for each value.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
@@ -33,14 +33,29 @@
     pub probe_every: Duration,
     #[serde(with = "humantime_serde")]
     pub probe_timeout: Duration,
+    pub region: Option<String>,
     pub seeds: Vec<SocketAddr>,
+    pub site: Option<String>,
+    pub zone: Option<String>,
 }
 
 impl Default for PeersSection {
     fn default() -> Self {
         let PeersConfig { cluster, seeds, probe_every, probe_timeout, count, .. } = PeersConfig::default();
         let (hold, memory) = (count.hold, count.memory);
-        Self { advertise: None, cluster, hold, listen: None, memory, probe_every, probe_timeout, seeds }
+        Self {
+            advertise: None,
+            cluster,
+            hold,
+            listen: None,
+            memory,
+            probe_every,
+            probe_timeout,
+            region: None,
+            seeds,
+            site: None,
+            zone: None,
+        }
     }
 }
 
@@ -58,6 +73,12 @@
             ..base
         }
     }
+
+    /// Where this node runs, as its peers are told.
+    pub fn location(&self) -> Location {
+        let text = |text: &Option<String>| text.clone().unwrap_or_default();
+        Location { region: text(&self.region), zone: text(&self.zone), site: text(&self.site) }
+    }
 }
 
 /// What is written to standard error, and how.
@@ -107,6 +128,9 @@
 /// Subsystems that log under a name of their own.
 pub const SUBSYSTEMS: &[&str] = &["clients", "discovery", "log", "node", "peers", "policy", "request"];
 
+/// Bytes of the name of a region, a zone or a site at the most: with three of them a datagram still holds its message.
+const PLACE: usize = 16;
+
 const LEVELS: &[&str] = &["off", "error", "warn", "info", "debug", "trace"];
 
 /// What may stand at a place.
@@ -212,12 +236,30 @@
         default: "\"180ms\"",
         about: "an answer that takes longer is asked for by way of others; at the most half of `peers.probe_every`",
     },
+    Item {
+        path: "peers.region",
+        kind: Kind::Text(PLACE),
+        default: "null",
+        about: "the region where this node runs, as its peers are told; short, as each datagram carries it twice",
+    },
     Item {
         path: "peers.seeds",
         kind: Kind::Addresses,
         default: "[]",
         about: "where other nodes may be met; any of them may be down",
     },
+    Item {
+        path: "peers.site",
+        kind: Kind::Text(PLACE),
+        default: "null",
+        about: "the site where this node runs: what fails together within a zone",
+    },
+    Item {
+        path: "peers.zone",
+        kind: Kind::Text(PLACE),
+        default: "null",
+        about: "the zone where this node runs: what fails together within a region",
+    },
 ];
 
 impl Kind {
--- a/src/net/config/section/tests.rs
+++ b/src/net/config/section/tests.rs
@@ -70,3 +70,16 @@
     assert_eq!(faults_of(json!(7)), ["walkpick: found 7, expected an object"]);
     assert_eq!(faults_of(json!({"log": {"window": "900000000000000000000000years"}})).len(), 1);
 }
+
+#[test]
+fn a_location_is_told_as_far_as_it_is_configured() {
+    let mut faults = Vec::new();
+    let section = json!({"peers": {"listen": "127.0.0.1:7946", "region": "eu", "site": "p4"}});
+    let location = read(Some(&section), &mut faults).peers.location();
+    let expected = Location { region: "eu".to_owned(), zone: String::new(), site: "p4".to_owned() };
+    assert_eq!((location, &faults[..]), (expected, &[][..]));
+    assert_eq!(
+        faults_of(json!({"peers": {"listen": "127.0.0.1:7946", "zone": "more than sixteen bytes"}})),
+        ["walkpick.peers.zone: found \"more than sixteen bytes\", expected a text of 1 to 16 bytes"]
+    );
+}
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -8,7 +8,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep_until, Duration, Instant};
 use tracing::{error, info, warn};
-use walkpick::peers::{Agreement, Micros, Output, Peer, Peers, PeersConfig, Standing};
+use walkpick::peers::{Agreement, Location, Micros, Output, Peer, Peers, PeersConfig, Standing};
 
 use super::lifecycle::Stage;
 
@@ -33,6 +33,7 @@
         advertise: Option<SocketAddr>,
         config: PeersConfig,
         name: &str,
+        location: &Location,
         observer: bool,
         seed: u64,
     ) -> io::Result<Self> {
@@ -45,7 +46,7 @@
         let order = u64::try_from(unix.as_micros()).unwrap_or(u64::MAX);
         // Its own draw: two lives that share a seed are two lives all the same.
         let salt = fastrand::u32(..);
-        let me = Peer { address, order, salt, observer, name: name.to_owned(), more: Vec::new() };
+        let me = Peer { address, order, salt, observer, name: name.to_owned(), more: location.encode() };
         let (start, buffer, out) = (Instant::now(), vec![0; LARGEST], Vec::new());
         Ok(Self { socket, peers: Peers::new(config, me, seed, 0), start, buffer, out })
     }
--- a/src/peers/identity.rs
+++ b/src/peers/identity.rs
@@ -7,6 +7,31 @@
 /// ever apart, so that a process whose clock went back still takes the place of its older self.
 const RENEWED: u64 = 3_600_000_000;
 
+/// Where a process runs, from the widest to the narrowest. An empty text: not told.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Location {
+    /// Sites that are near to each other by the standards of a continent.
+    pub region: String,
+    /// What fails together within a region.
+    pub zone: String,
+    /// What fails together within a zone.
+    pub site: String,
+}
+
+/// What [`Peer::more`] begins with where it holds a location.
+const LOCATION: u8 = 1;
+
+impl Location {
+    /// As [`Peer::more`] carries it: nothing where nothing is told, as each datagram names two peers.
+    pub fn encode(&self) -> Vec<u8> {
+        if *self == Self::default() {
+            return Vec::new();
+        }
+        // Texts of bounded length always have an encoding.
+        postcard::to_stdvec(&(LOCATION, self)).unwrap_or_default()
+    }
+}
+
 /// One life of one process. Of two at one address the one with the greater `order` stands; of two that claim one name
 /// as well, at different addresses.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -22,7 +47,7 @@
     pub observer: bool,
     /// Its name.
     pub name: String,
-    /// What later versions add; carried as it is.
+    /// Its [`Location`], and what later versions add; carried as it is.
     pub more: Vec<u8>,
 }
 
@@ -31,6 +56,14 @@
     pub fn before(&self, other: &Self) -> bool {
         (self.order, self.salt) > (other.order, other.salt)
     }
+
+    /// Where it runs, as far as it told.
+    pub fn location(&self) -> Location {
+        match postcard::take_from_bytes::<(u8, Location)>(&self.more) {
+            Ok(((LOCATION, location), _)) => location,
+            _ => Location::default(),
+        }
+    }
 }
 
 impl foca::Identity for Peer {
@@ -48,3 +81,6 @@
         self.before(adversary)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/peers/membership/mod.rs
+++ b/src/peers/membership/mod.rs
@@ -23,7 +23,7 @@
 use rand::SeedableRng;
 use std::net::SocketAddr;
 
-use super::envelope::{Envelope, SCHEMA};
+use super::envelope::{encode_extensions, Envelope, Extension, LifeId, EXTENSIONS_SINCE, SCHEMA};
 use super::identity::Peer;
 use super::{Micros, Output};
 use admission::DropReason;
@@ -115,6 +115,9 @@
         envelope: &Envelope,
         out: &mut Vec<Output>,
     ) -> Result<(), DropReason> {
+        if envelope.schema >= EXTENSIONS_SINCE && envelope.payload.is_empty() {
+            return self.receive_without_engine(now, envelope);
+        }
         // Who sent it is in it: behind a relay or a mapping it comes from elsewhere.
         let (header, _) = postcard::take_from_bytes::<foca::Header<Peer>>(envelope.payload)
             .map_err(|_| DropReason::Malformed)?;
@@ -129,9 +132,44 @@
         if self.members.get(&sender).is_some_and(|held| !held.peer.observer) {
             self.agreement.report(now, sender, envelope.digest);
         }
+        self.members.heard(&sender, envelope.schema);
         handled.map_err(|_| DropReason::Malformed)
     }
 
+    /// A datagram with extensions alone: it tells its sender's digest, where that one is present.
+    fn receive_without_engine(&mut self, now: Micros, envelope: &Envelope) -> Result<(), DropReason> {
+        let sender = envelope.sender().ok_or(DropReason::Malformed)?;
+        if self.is_present(&sender) {
+            self.agreement.report(now, sender.address, envelope.digest);
+            self.members.heard(&sender.address, envelope.schema);
+        }
+        Ok(())
+    }
+
+    /// Whether this life of a node is present, as far as is known here.
+    pub fn is_present(&self, life: &LifeId) -> bool {
+        let held = self.members.get(&life.address);
+        held.is_some_and(|held| {
+            !held.peer.observer && !held.standing.is_gone() && LifeId::from(&held.peer) == *life
+        })
+    }
+
+    /// Whether a peer reads extensions.
+    pub fn reads_extensions(&self, address: &SocketAddr) -> bool {
+        self.members.get(address).is_some_and(|held| held.schema >= EXTENSIONS_SINCE)
+    }
+
+    /// Sends extensions without a message of the engine, to one that reads them; whether that was possible.
+    #[allow(dead_code)] // The parts that share the socket send by it.
+    pub fn send_extensions(&self, to: SocketAddr, extensions: Vec<Extension>, out: &mut Vec<Output>) -> bool {
+        if !self.reads_extensions(&to) {
+            return false;
+        }
+        let sender = [Extension::Sender(LifeId::from(self.me()))];
+        let all: Vec<_> = sender.into_iter().chain(extensions).collect();
+        self.send_datagram(to, &[], &all, out)
+    }
+
     /// Time has come for what is due.
     pub fn run_timers(&mut self, now: Micros, out: &mut Vec<Output>) {
         let late = now.saturating_sub(self.next().unwrap_or(now));
@@ -260,20 +298,32 @@
 
     fn send(&self, messages: Vec<EngineMessage>, out: &mut Vec<Output>) {
         for EngineMessage { to, payload } in messages {
-            let envelope = Envelope {
-                schema: SCHEMA,
-                cluster: &self.config.cluster,
-                digest: self.agreement.digest(),
-                nodes: self.nodes,
-                payload: &payload,
-                more: &[],
-            };
-            if let Ok(data) = postcard::to_stdvec(&envelope) {
-                out.push(Output::Send { to, data });
-            }
+            self.send_datagram(to, &payload, &[], out);
         }
     }
 
+    fn send_datagram(
+        &self,
+        to: SocketAddr,
+        payload: &[u8],
+        extensions: &[Extension],
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let more = encode_extensions(extensions);
+        let envelope = Envelope {
+            schema: SCHEMA,
+            cluster: &self.config.cluster,
+            digest: self.agreement.digest(),
+            nodes: self.nodes,
+            payload,
+            more: &more,
+        };
+        let data = envelope.encode();
+        let fits = data.is_some();
+        out.extend(data.map(|data| Output::Send { to, data }));
+        fits
+    }
+
     /// The engine's times follow the number of peers, and of those in doubt.
     fn adapt_engine(&mut self) {
         let suspects = self.members.iter().filter(|held| held.standing == Standing::Suspected).count();
@@ -390,3 +440,6 @@
 fn unknown_peer(address: SocketAddr) -> Peer {
     Peer { address, order: 0, salt: 0, observer: false, name: String::new(), more: Vec::new() }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/peers/membership/tests.rs
@@ -0,0 +1,77 @@
+use super::*;
+
+fn address(host: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host], 7_946))
+}
+
+fn membership(host: u8) -> Membership {
+    let me = Peer { name: format!("n{host}"), order: 1, ..unknown_peer(address(host)) };
+    let config = PeersConfig { seeds: vec![address(1)], nodes: 2, ..PeersConfig::default() };
+    Membership::new(config, me, u64::from(host), 0)
+}
+
+fn datagrams(out: &mut Vec<Output>) -> Vec<(SocketAddr, Vec<u8>)> {
+    let sent = out.drain(..).filter_map(|output| match output {
+        Output::Send { to, data } => Some((to, data)),
+        _ => None,
+    });
+    sent.collect()
+}
+
+/// Two that have met, at one moment, on a network without delay.
+fn pair() -> [Membership; 2] {
+    let mut both = [membership(1), membership(2)];
+    let mut out = Vec::new();
+    both.iter_mut().for_each(|one| one.run_timers(0, &mut out));
+    let mut waiting = datagrams(&mut out);
+    while let Some((to, data)) = waiting.pop() {
+        let to = usize::from(to == address(2));
+        let _ = both[to].receive(0, &Envelope::decode(&data).unwrap(), &mut out);
+        waiting.extend(datagrams(&mut out));
+    }
+    assert_eq!(both.each_ref().map(|one| one.summary().nodes), [2, 2]);
+    both
+}
+
+#[test]
+fn extensions_travel_alone_and_tell_their_senders_digest() {
+    let [mut one, two] = pair();
+    let mut out = Vec::new();
+    assert!(two.send_extensions(address(1), vec![Extension::Dissemination(vec![7])], &mut out));
+    let (to, data) = datagrams(&mut out).remove(0);
+    let mut envelope = Envelope::decode(&data).unwrap();
+    assert_eq!(
+        (to, envelope.payload, envelope.sender()),
+        (address(1), &[][..], Some(LifeId::from(two.me())))
+    );
+    assert_eq!(envelope.extensions()[1..], [Extension::Dissemination(vec![7])]);
+    envelope.digest = 99;
+    assert_eq!(one.receive(1, &envelope, &mut out), Ok(()));
+    assert_eq!(one.view(1).differing.get(&99), Some(&vec![address(2)]));
+}
+
+#[test]
+fn without_the_engine_a_datagram_names_its_sender_or_is_malformed() {
+    let [mut one, _] = pair();
+    let mut out = Vec::new();
+    let stranger = encode_extensions(&[Extension::Sender(LifeId { address: address(2), order: 9, salt: 9 })]);
+    for (schema, more, expected) in [
+        (SCHEMA, &[][..], Err(DropReason::Malformed)),
+        (SCHEMA, &stranger, Ok(())),
+        (1, &stranger, Err(DropReason::Malformed)),
+    ] {
+        let envelope = Envelope { schema, cluster: "walkpick", digest: 5, nodes: 2, payload: &[], more };
+        assert_eq!(one.receive(1, &envelope, &mut out), expected);
+        assert!(!one.view(1).differing.contains_key(&5), "another life's word is none");
+    }
+}
+
+#[test]
+fn one_heard_in_schema_one_is_sent_no_datagram_without_the_engine() {
+    let [mut one, two] = pair();
+    assert!(two.reads_extensions(&address(1)) && one.reads_extensions(&address(2)));
+    one.members.heard(&address(2), 1);
+    let mut out = Vec::new();
+    assert!(!one.send_extensions(address(2), vec![Extension::Dissemination(vec![7])], &mut out));
+    assert_eq!(out, []);
+}
--- a/src/peers/membership/view.rs
+++ b/src/peers/membership/view.rs
@@ -79,6 +79,8 @@
     pub standing: Standing,
     /// When it came to stand so.
     pub since: Micros,
+    /// The version of the envelope that it sent last; 0 until it is heard.
+    pub schema: u16,
 }
 
 /// All peers that are known of, by address.
@@ -112,10 +114,19 @@
         }
     }
 
+    /// A peer was heard in this version of the envelope.
+    pub fn heard(&mut self, address: &SocketAddr, schema: u16) {
+        if let Some(held) = self.members.get_mut(address) {
+            held.schema = schema;
+        }
+    }
+
     /// Sets how a peer stands; whether that is another standing than before.
     pub fn set(&mut self, now: Micros, peer: &Peer, standing: Standing) -> bool {
-        let member = Member { peer: peer.clone(), standing, since: now };
-        let before = self.members.insert(peer.address, member);
+        let before = self.members.remove(&peer.address);
+        // A restart may be another version: it is heard again before it counts.
+        let schema = before.as_ref().filter(|before| before.peer == *peer).map_or(0, |before| before.schema);
+        self.members.insert(peer.address, Member { peer: peer.clone(), standing, since: now, schema });
         // An observer that goes is nobody's loss.
         if peer.observer && standing != Standing::Present {
             self.members.remove(&peer.address);
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -11,7 +11,7 @@
 
 pub use budget::{ByteBudget, TrafficClass};
 pub use envelope::LARGEST;
-pub use identity::Peer;
+pub use identity::{Location, Peer};
 pub use membership::{Agreement, Count, CountRules, Dropped, PeersConfig, Seen, Standing, View, ViewSummary};
 
 use envelope::Envelope;
