Peers: what membership sends is counted by kind

Need: the bytes of joining and of trouble have to be laid at somebody's door before they are mended. Peers::traffic() tells datagrams and bytes of probes, gossip, announcements, feeds, notices and repair.

--- a/src/peers/membership/engine.rs
+++ b/src/peers/membership/engine.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::farewells::Farewells;
+use super::traffic::TrafficKind;
 use crate::peers::identity::Peer;
 
 /// The SWIM engine.
@@ -14,6 +15,7 @@
 /// A message of the engine to a peer.
 pub(super) struct EngineMessage {
     pub to: SocketAddr,
+    pub kind: TrafficKind,
     pub payload: Vec<u8>,
 }
 
@@ -49,7 +51,10 @@
     }
 
     fn send_to(&mut self, to: Peer, data: &[u8]) {
-        self.messages.push(EngineMessage { to: to.address, payload: data.to_vec() });
+        // Every message begins with a header that the engine has just written.
+        let header = postcard::take_from_bytes::<foca::Header<Peer>>(data);
+        let kind = header.map_or(TrafficKind::Probe, |(header, _)| TrafficKind::of(&header.message));
+        self.messages.push(EngineMessage { to: to.address, kind, payload: data.to_vec() });
     }
 
     fn submit_after(&mut self, event: Timer<Peer>, after: Duration) {
--- a/src/peers/membership/mod.rs
+++ b/src/peers/membership/mod.rs
@@ -10,12 +10,14 @@
 mod names;
 mod settings;
 mod timers;
+mod traffic;
 mod view;
 
 pub use admission::Dropped;
 pub use agreement::Agreement;
 pub use count::{Count, CountRules};
 pub use settings::PeersConfig;
+pub use traffic::{Traffic, TrafficCount, TrafficKind, TRAFFIC_KINDS};
 pub use view::{Seen, Standing, View, ViewSummary};
 
 use foca::{State, Timer};
@@ -59,6 +61,7 @@
     joining: Joining,
     agreement: AgreementTracker,
     count: Count,
+    traffic: Traffic,
     /// It has left, or gave its name up.
     left: bool,
 }
@@ -83,6 +86,7 @@
             joining: Joining::new(config.seeds.clone()),
             agreement: AgreementTracker::new(now, memory),
             count: Count::new(config.count, config.nodes),
+            traffic: Traffic::default(),
             left: false,
             config,
             me,
@@ -167,7 +171,10 @@
         }
         let sender = [Extension::Sender(LifeId::from(self.me()))];
         let all: Vec<_> = sender.into_iter().chain(extensions).collect();
-        self.send_datagram(to, &[], &all, out)
+        let data = self.datagram(&[], &all);
+        let fits = data.is_some();
+        out.extend(data.map(|data| Output::Send { to, data }));
+        fits
     }
 
     /// Time has come for what is due.
@@ -234,6 +241,11 @@
         }
     }
 
+    /// What it sent up to now.
+    pub fn traffic(&self) -> Traffic {
+        self.traffic
+    }
+
     /// What it sees.
     pub fn view(&self, now: Micros) -> View {
         View {
@@ -296,19 +308,17 @@
         }
     }
 
-    fn send(&self, messages: Vec<EngineMessage>, out: &mut Vec<Output>) {
-        for EngineMessage { to, payload } in messages {
-            self.send_datagram(to, &payload, &[], out);
+    fn send(&mut self, messages: Vec<EngineMessage>, out: &mut Vec<Output>) {
+        for EngineMessage { to, kind, payload } in messages {
+            if let Some(data) = self.datagram(&payload, &[]) {
+                self.traffic.add(kind, data.len());
+                out.push(Output::Send { to, data });
+            }
         }
     }
 
-    fn send_datagram(
-        &self,
-        to: SocketAddr,
-        payload: &[u8],
-        extensions: &[Extension],
-        out: &mut Vec<Output>,
-    ) -> bool {
+    /// A datagram of these parts, where it is not too long.
+    fn datagram(&self, payload: &[u8], extensions: &[Extension]) -> Option<Vec<u8>> {
         let more = encode_extensions(extensions);
         let envelope = Envelope {
             schema: SCHEMA,
@@ -318,10 +328,7 @@
             payload,
             more: &more,
         };
-        let data = envelope.encode();
-        let fits = data.is_some();
-        out.extend(data.map(|data| Output::Send { to, data }));
-        fits
+        envelope.encode()
     }
 
     /// The engine's times follow the number of peers, and of those in doubt.
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -12,7 +12,10 @@
 pub use budget::{ByteBudget, TrafficClass};
 pub use envelope::LARGEST;
 pub use identity::{Location, Peer};
-pub use membership::{Agreement, Count, CountRules, Dropped, PeersConfig, Seen, Standing, View, ViewSummary};
+pub use membership::{
+    Agreement, Count, CountRules, Dropped, PeersConfig, Seen, Standing, Traffic, TrafficCount, TrafficKind,
+    View, ViewSummary, TRAFFIC_KINDS,
+};
 
 use envelope::Envelope;
 use membership::admission::{Admission, DropReason};
@@ -121,6 +124,11 @@
         self.membership.summary()
     }
 
+    /// What membership sent up to now, by kind.
+    pub fn traffic(&self) -> Traffic {
+        self.membership.traffic()
+    }
+
     /// What it sees.
     pub fn view(&self, now: Micros) -> View {
         self.membership.view(now)
