Slopes: measured series, their least-squares fits and the file that keeps them

lab/src/slopes has the common form of a series, a fit against size, log2(size) and constant (the shape that leaves the least standard error is named; fewer than four sizes, or size means further than 10% from the line, are said to be no fit and stand as points), and says how far an estimate lies outside what was measured. `walkpick-lab slopes add` stamps date, commit and cores and replaces series of the same name and method; `slopes show` prints them. Every fault of a bad file is told at once, exit 2.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -13,10 +13,12 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use walkpick_lab::commands::slopes;
 use walkpick_lab::experiment::{self, Arm, Driver, Experiment, ExperimentError, Policy, What};
 use walkpick_lab::judge::{self, Result as Run};
 use walkpick_lab::membership::{Case, CASES};
 use walkpick_lab::real::{self, process, Options, RealError};
+use walkpick_lab::slopes::SlopesError;
 use walkpick_lab::world::World;
 use walkpick_lab::{model, report};
 
@@ -37,6 +39,8 @@
     Calibrate(CalibrateArgs),
     /// Run cases of membership among any number of peers in simulated time
     Membership(MembershipArgs),
+    /// Take measured series into the slopes file, or show it
+    Slopes(slopes::SlopesArgs),
     /// Run again what a JSON of results came from, and tell whether the same comes out
     Replay {
         /// What `run --json` wrote
@@ -209,6 +213,7 @@
         Command::Compare(args) => compare(&args),
         Command::Calibrate(args) => calibrate(&args),
         Command::Membership(args) => membership(&args).map(|()| true),
+        Command::Slopes(args) => slopes::run(&args),
         Command::Replay { file, how } => replay(&file, &how),
         Command::Init { file } => init(&file).map(|()| true),
         Command::List { folder } => list(&folder).map(|()| true),
@@ -223,15 +228,23 @@
             for line in error.to_string().lines() {
                 eprintln!("walkpick-lab: {line}");
             }
-            match error.downcast_ref::<ExperimentError>() {
-                Some(_) => ExitCode::from(BAD_INPUT),
-                None if error.downcast_ref::<UnknownName>().is_some() => ExitCode::from(BAD_INPUT),
-                None => ExitCode::FAILURE,
+            if bad_input(error.as_ref()) {
+                ExitCode::from(BAD_INPUT)
+            } else {
+                ExitCode::FAILURE
             }
         }
     }
 }
 
+/// Whether what was given is at fault.
+fn bad_input(error: &(dyn Error + 'static)) -> bool {
+    error.is::<ExperimentError>()
+        || error.is::<UnknownName>()
+        || error.is::<SlopesError>()
+        || error.is::<slopes::SeriesFaults>()
+}
+
 #[derive(Debug, thiserror::Error)]
 #[error("found \"{found}\", expected one of {expected}")]
 struct UnknownName {
--- /dev/null
+++ b/lab/src/slopes/mod.rs
@@ -0,0 +1,16 @@
+//! Measured costs against a size: series of points, their least-squares fit, and the file that keeps them.
+
+mod faults;
+mod file;
+mod fit;
+mod read;
+mod series;
+
+pub use faults::{Fault, SlopesError};
+pub use file::{Recorded, SlopesFile, Stamp};
+pub use fit::{Estimate, Fit, Reach, Shape, Verdict, FEWEST_SIZES};
+pub use read::read_series;
+pub use series::{write_series, Method, Point, Series};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/lab/tests/slopes.rs
@@ -0,0 +1,85 @@
+//! `walkpick-lab slopes` as a program.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("walkpick-lab-slopes-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Self(path)
+    }
+
+    fn path(&self, name: &str) -> String {
+        self.0.join(name).display().to_string()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn lab(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_walkpick-lab")).args(arguments).output().unwrap()
+}
+
+fn out(output: &Output) -> String {
+    format!("{}{}", String::from_utf8_lossy(&output.stdout), String::from_utf8_lossy(&output.stderr))
+}
+
+fn one_series(name: &str, slope: f64) -> String {
+    let point = |size: u32| {
+        format!("{{\"size\": {size}, \"value\": {}, \"seed\": 7}}", 10.0 + slope * f64::from(size))
+    };
+    let points = [66, 132, 265, 530].map(point).join(", ");
+    format!(
+        "[{{\"name\": \"{name}\", \"unit\": \"B/s\", \"against\": \"nodes\", \"method\": \"simulated\", \
+         \"command\": \"walkpick-lab x\", \"points\": [{points}]}}]"
+    )
+}
+
+#[test]
+fn series_are_added_stamped_replaced_and_shown() {
+    let folder = Folder::new("add");
+    let slopes = folder.path("slopes.json");
+    std::fs::write(folder.path("a.json"), one_series("a", 1.0)).unwrap();
+    std::fs::write(folder.path("b.json"), one_series("b", 2.0)).unwrap();
+    let added = lab(&["slopes", "add", "--to", &slopes, &folder.path("a.json"), &folder.path("b.json")]);
+    assert_eq!(added.status.code(), Some(0), "{}", out(&added));
+    std::fs::write(folder.path("b.json"), one_series("b", 3.0)).unwrap();
+    let added = lab(&["slopes", "add", "--to", &slopes, "--commit", "abc", &folder.path("b.json")]);
+    assert_eq!(added.status.code(), Some(0), "{}", out(&added));
+    let shown = lab(&["slopes", "show", &slopes]);
+    let text = out(&shown);
+    assert_eq!(shown.status.code(), Some(0), "{text}");
+    assert!(text.contains("a (simulated), B/s against nodes"), "{text}");
+    assert!(text.contains("10.0000 + 1.000000 x size"), "{text}");
+    assert!(text.contains("10.0000 + 3.000000 x size") && !text.contains("2.000000"), "{text}");
+    assert!(text.contains("cores, commit abc"), "{text}");
+    let json: serde_json::Value = serde_json::from_str(&std::fs::read_to_string(&slopes).unwrap()).unwrap();
+    let date = json["series"][1]["date"].as_str().unwrap();
+    assert!(humantime::parse_rfc3339(date).is_ok(), "{date}");
+}
+
+#[test]
+fn bad_series_leave_the_file_as_it_is_and_end_with_2() {
+    let folder = Folder::new("bad");
+    let slopes = folder.path("slopes.json");
+    std::fs::write(folder.path("a.json"), one_series("a", 1.0)).unwrap();
+    assert_eq!(lab(&["slopes", "add", "--to", &slopes, &folder.path("a.json")]).status.code(), Some(0));
+    let before = std::fs::read_to_string(&slopes).unwrap();
+    std::fs::write(folder.path("bad.json"), one_series("c", -9.0)).unwrap();
+    std::fs::write(folder.path("torn.json"), "[").unwrap();
+    let files = [folder.path("bad.json"), folder.path("torn.json"), folder.path("missing.json")];
+    let added = lab(&["slopes", "add", "--to", &slopes, &files[0], &files[1], &files[2]]);
+    assert_eq!(added.status.code(), Some(2), "{}", out(&added));
+    for named in ["bad.json: [0].points[3].value", "torn.json: line 1", "missing.json: cannot be read"] {
+        assert!(out(&added).contains(named), "{named}: {}", out(&added));
+    }
+    assert_eq!(std::fs::read_to_string(&slopes).unwrap(), before);
+    assert_eq!(lab(&["slopes", "show", &folder.path("missing.json")]).status.code(), Some(2));
+}
