walkpick-lab capacity: what each role needs at a plan's size, and docs/CAPACITY.md

The operators plan for 530 nodes and ask for a page that says, by role, state, messages, bytes, processor time and memory at that size, the mechanism that carries each, and the size at which each budget is used up.

No series is in docs/slopes.json yet: the page has the plan's arithmetic alone.

--- /dev/null
+++ b/lab/src/capacity/rows/control.rs
@@ -0,0 +1,246 @@
+//! What a node spends beside the request path: membership, dissemination and values in force.
+
+use super::{need, within, Mechanism, Need, Resource, Role, Row, DISSEMINATION, LIVE_VALUES};
+use crate::capacity::figures::count;
+use crate::capacity::values::Needed;
+use crate::capacity::{demand, Case, Context, Gap, Plan, Value};
+
+const BYTES: &str = "the plan, all of control";
+const CORE: &str = "the plan, all of control";
+const MEMORY: &str = "the smaller of plan and smallest node";
+const LOG_TIME: &str = "dissemination.seconds_to_all.log";
+const STATE_TIME: &str = "dissemination.seconds_to_all.state";
+
+pub(super) fn rows() -> Vec<Row> {
+    vec![membership(), purges(), configuration(), values_in_force(), together(), together_hollow()]
+}
+
+fn row(name: &'static str, state: fn(&Plan) -> String, mechanism: Mechanism, needs: Vec<Need>) -> Row {
+    Row { role: Role::Control, name, state, mechanism, leans_on: &[], needs }
+}
+
+fn bytes(of: fn(&Context) -> Needed) -> Need {
+    within(Resource::Bytes, BYTES, demand::control_bytes_budget, of)
+}
+
+fn cores(of: fn(&Context) -> Needed) -> Need {
+    within(Resource::Processor, CORE, |plan| plan.control_core_fraction, of)
+}
+
+fn memory(of: fn(&Context) -> Needed) -> Need {
+    within(Resource::Memory, MEMORY, demand::control_memory_budget, of)
+}
+
+fn membership() -> Row {
+    row(
+        "membership",
+        |plan| format!("{} members", count(plan.nodes)),
+        Mechanism::Modules("src/peers/, src/net/peers.rs"),
+        vec![
+            need(Resource::Messages, |context| match context.case {
+                Case::OrdinaryDay | Case::Peak => {
+                    context.largest("membership.datagrams_per_second.rest", Resource::Messages)
+                }
+                _ => Err(Gap::NotApplicable),
+            })
+            .called("datagrams at rest"),
+            bytes(membership_bytes).called("largest 5 s mean"),
+            cores(membership_cores),
+            memory(membership_memory),
+            need(Resource::Seconds, |context| {
+                by_case(context, "membership.seconds_to_know.", Resource::Seconds)
+            })
+            .called("to know"),
+            need(Resource::Seconds, |context| {
+                by_case(context, "membership.seconds_to_agree.", Resource::Seconds)
+            })
+            .called("to agree"),
+        ],
+    )
+}
+
+fn purges() -> Row {
+    row(
+        "purges, to every node in order",
+        |plan| {
+            format!(
+                "entries of up to {} B for repair; {} of them missed by a region cut off for {} s",
+                count(plan.entry_largest_bytes),
+                count(demand::purges_missed(plan)),
+                count(plan.region_cut_seconds)
+            )
+        },
+        Mechanism::OnceMeasured {
+            name: DISSEMINATION,
+            modules: "src/peers/dissemination/",
+            series: LOG_TIME,
+        },
+        vec![
+            need(Resource::Messages, |context| Ok(Value::plan(context.plan.purges_per_second)))
+                .called("entries"),
+            bytes(dissemination_bytes).called("largest 5 s mean"),
+            memory(|context| context.largest("dissemination.memory", Resource::Memory)),
+            within(
+                Resource::Seconds,
+                "the plan",
+                |plan| plan.purge_within_seconds,
+                |context| in_calm(context, LOG_TIME, Resource::Seconds),
+            )
+            .called("to all nodes, the largest"),
+        ],
+    )
+}
+
+fn configuration() -> Row {
+    row(
+        "configuration, the newest to every node",
+        |plan| format!("one version; {} changes a day", count(plan.configuration_changes_per_day)),
+        Mechanism::OnceMeasured {
+            name: DISSEMINATION,
+            modules: "src/peers/dissemination/",
+            series: STATE_TIME,
+        },
+        vec![
+            need(Resource::Messages, |context| {
+                Ok(Value::plan(demand::configuration_per_second(context.plan)))
+            })
+            .called("changes"),
+            bytes(|context| {
+                let rate = demand::configuration_per_second(context.plan);
+                Ok(Value::plan(rate * context.plan.entry_largest_bytes))
+            })
+            .called("each change once, in the mean"),
+            within(
+                Resource::Seconds,
+                "the plan",
+                |plan| plan.configuration_within_seconds,
+                |context| in_calm(context, STATE_TIME, Resource::Seconds),
+            )
+            .called("to all nodes, the largest"),
+        ],
+    )
+}
+
+fn values_in_force() -> Row {
+    let row = row(
+        "configuration, put in force while running",
+        |_| "one value: discovery's address, read anew at SIGHUP (src/net/config/)".to_owned(),
+        Mechanism::Missing(LIVE_VALUES),
+        vec![need(Resource::Messages, |context| {
+            Ok(Value::plan(demand::configuration_per_second(context.plan)))
+        })
+        .called("changes")],
+    );
+    Row { leans_on: &[DISSEMINATION], ..row }
+}
+
+fn together() -> Row {
+    row(
+        "membership and dissemination together",
+        |_| "as above".to_owned(),
+        Mechanism::Modules("src/peers/budget.rs"),
+        vec![
+            bytes(|context| Ok(membership_bytes(context)?.plus(dissemination_bytes(context)?))),
+            memory(|context| {
+                let dissemination = context.largest("dissemination.memory", Resource::Memory)?;
+                Ok(membership_memory(context)?.plus(dissemination))
+            }),
+        ],
+    )
+}
+
+fn together_hollow() -> Row {
+    row(
+        "all of control, hollow nodes on UDP sockets",
+        |plan| format!("{} members, and what dissemination keeps", count(plan.nodes)),
+        Mechanism::Modules("src/peers/, src/net/peers.rs"),
+        vec![
+            bytes(hollow_bytes).called("largest 5 s mean"),
+            cores(|context| in_calm(context, "hollow.processor_core_fraction", Resource::Processor)),
+            memory(|context| in_calm(context, "hollow.memory_bytes", Resource::Memory)),
+            within(
+                Resource::Seconds,
+                "the plan",
+                |plan| plan.purge_within_seconds,
+                |context| in_calm(context, "hollow.seconds_to_all.log", Resource::Seconds),
+            )
+            .called("a purge to all nodes"),
+            within(
+                Resource::Seconds,
+                "the plan",
+                |plan| plan.configuration_within_seconds,
+                |context| in_calm(context, "hollow.seconds_to_all.state", Resource::Seconds),
+            )
+            .called("a change to all nodes"),
+        ],
+    )
+}
+
+/// What is measured without a failure counts for the ordinary day and the peak.
+fn in_calm(context: &Context, name: &str, resource: Resource) -> Needed {
+    match context.case {
+        Case::OrdinaryDay | Case::Peak => context.largest(name, resource),
+        _ => Err(Gap::NotApplicable),
+    }
+}
+
+fn membership_bytes(context: &Context) -> Needed {
+    match context.case {
+        Case::OrdinaryDay | Case::Peak => {
+            context.largest("membership.bytes_per_second.rest", Resource::Bytes)
+        }
+        _ => by_case(context, "membership.bytes_per_second.peak.", Resource::Bytes),
+    }
+}
+
+/// Series of membership that were measured in a case of their own.
+fn by_case(context: &Context, prefix: &str, resource: Resource) -> Needed {
+    let of = |case: &str| context.largest(&format!("{prefix}{case}"), resource);
+    match context.case {
+        Case::OrdinaryDay | Case::Peak => Err(Gap::NotApplicable),
+        Case::RestartsAtOnce => of("restarts32"),
+        Case::RackLost => of("rack"),
+        Case::ZoneLost => of("zone"),
+        Case::RegionCut => of("region_cut"),
+        Case::RegionReturn => of("region_return"),
+        Case::Release => of("release"),
+        Case::OtherTrouble => {
+            let others = ["join", "split", "tenth_restarted", "seven_in_ten_killed"];
+            let names = others.map(|case| format!("{prefix}{case}"));
+            context.largest_of(&names.each_ref().map(String::as_str), resource)
+        }
+    }
+}
+
+fn membership_cores(context: &Context) -> Needed {
+    match context.case {
+        Case::OrdinaryDay | Case::Peak => context.beginning("membership.processor_", Resource::Processor),
+        _ => Err(Gap::NotApplicable),
+    }
+}
+
+fn membership_memory(context: &Context) -> Needed {
+    let each = context.largest("membership.memory_per_member", Resource::Memory)?;
+    Ok(each.times(context.plan.nodes))
+}
+
+fn dissemination_bytes(context: &Context) -> Needed {
+    context.largest("dissemination.bytes_per_second.peak", Resource::Bytes)
+}
+
+fn hollow_bytes(context: &Context) -> Needed {
+    let peak = |case: &str| context.largest(&format!("hollow.bytes_per_second.peak.{case}"), Resource::Bytes);
+    match context.case {
+        Case::OrdinaryDay => {
+            context.first_of(&["hollow.bytes_per_second.rest", "hollow.bytes_per_second"], Resource::Bytes)
+        }
+        Case::Peak => context
+            .first_of(&["hollow.bytes_per_second.peak.rest", "hollow.bytes_per_second"], Resource::Bytes),
+        Case::RestartsAtOnce => peak("restart"),
+        Case::RackLost => peak("rack"),
+        Case::ZoneLost => peak("zone"),
+        Case::RegionCut => peak("region"),
+        Case::OtherTrouble => peak("join"),
+        Case::RegionReturn | Case::Release => Err(Gap::NotApplicable),
+    }
+}
--- /dev/null
+++ b/lab/src/capacity/tests.rs
@@ -0,0 +1,313 @@
+//! Plans, arithmetic, budgets and pages of the capacity tables.
+
+use super::rows::Mechanism;
+use super::solve::over_budget;
+use super::*;
+use crate::slopes::{Method, Point, Recorded, Series, SlopesFile, Stamp};
+use std::path::{Path, PathBuf};
+
+const SHIPPED: &str = include_str!("../../../deploy/plans/fleet-ahead.toml");
+const SOURCES: Sources = Sources { plan: "plan.toml", slopes: "slopes.json" };
+const SIZES: [f64; 6] = [66.0, 132.0, 265.0, 530.0, 1_060.0, 2_120.0];
+
+fn shipped() -> Plan {
+    Plan::parse(SHIPPED).unwrap()
+}
+
+/// A slopes file of series in these units, each a function of its size.
+fn slopes(series: &[(&str, &str, &str, fn(f64) -> f64)]) -> SlopesFile {
+    let mut file = SlopesFile::default();
+    for (name, unit, against, cost) in series {
+        let points = SIZES.iter().map(|size| Point { size: *size, value: cost(*size), seed: 3 }).collect();
+        let series = Series {
+            name: (*name).to_owned(),
+            unit: (*unit).to_owned(),
+            against: (*against).to_owned(),
+            method: Method::Simulated,
+            command: "walkpick-lab run scale.toml".to_owned(),
+            points,
+        };
+        let stamp = Stamp { date: "2026-12-02T05:00:00Z".to_owned(), commit: "abc".to_owned(), cores: 8 };
+        file.add(Recorded::new(series, stamp).unwrap());
+    }
+    file
+}
+
+fn find(role: Role, name: &str) -> Row {
+    all_rows().into_iter().find(|row| row.role == role && row.name == name).unwrap()
+}
+
+fn need_of(row: &Row, resource: Resource) -> Need {
+    row.needs.iter().find(|need| need.resource == resource).copied().unwrap()
+}
+
+fn membership_bytes() -> Need {
+    need_of(&find(Role::Control, "membership"), Resource::Bytes)
+}
+
+/// The lines of a table between its heading and the next one.
+fn section(lines: &[String], title: &str) -> Vec<String> {
+    let begin = lines.iter().position(|line| line == &format!("### {title}")).unwrap() + 1;
+    let end = lines[begin..].iter().position(|line| line.starts_with("### ")).unwrap_or(lines.len() - begin);
+    lines[begin..begin + end].to_vec()
+}
+
+#[test]
+fn the_shipped_plan_has_the_operators_figures_and_their_arithmetic() {
+    let plan = shipped();
+    let near =
+        |found: f64, expected: f64| assert!((found / expected - 1.0).abs() < 0.005, "{found} {expected}");
+    near(demand::requests_per_node(&plan, Case::Peak), 755.0);
+    near(demand::requests_per_pair(&plan, Case::Peak), 6.86);
+    near(demand::requests_per_server(&plan, Case::Peak), 3_636.0);
+    near(demand::connections_at_least(&plan), 58_300.0);
+    near(demand::objects_per_server(&plan), 40.9e6);
+    near(demand::planned_answer_bytes(&plan), 593_750.0);
+    near(demand::answer_bytes(&plan), 65_536.0);
+    near(demand::terabits_within_protocol(&plan), 0.2097);
+    near(demand::purges_missed(&plan), 1_080.0);
+    near(demand::control_bytes_budget(&plan), 16_000.0);
+    near(demand::control_memory_budget(&plan), 32e6);
+    near(demand::requests_per_node(&plan, Case::ZoneLost), 400_000.0 / (530.0 - 530.0 / 19.0));
+    near(demand::requests_per_server(&plan, Case::RegionCut), 400_000.0 / (110.0 - 110.0 / 8.0));
+}
+
+#[test]
+fn every_fault_of_a_bad_plan_is_told_at_once_with_its_line() {
+    let bad = SHIPPED
+        .replace("name = \"fleet-ahead\"", "name = \"\"")
+        .replace("nodes = 530", "nodes = 530.5")
+        .replace("sites = 43\n", "")
+        .replace("zones = 19", "zones = \"many\"")
+        .replace("core_fraction = 0.043", "core_fraction = -1\ncore_part = 0.043")
+        .replace("[assumed]", "[guessed]");
+    let faults = Plan::parse(&bad).unwrap_err();
+    let line_of = |text: &str| bad.lines().position(|line| line.contains(text)).unwrap() + 1;
+    let told: Vec<_> = faults.iter().map(|fault| (fault.line, fault.place.as_str())).collect();
+    assert_eq!(
+        told,
+        [
+            (line_of("name = \"\""), "name"),
+            (line_of("[fleet]"), "fleet.sites"),
+            (line_of("530.5"), "fleet.nodes"),
+            (line_of("\"many\""), "fleet.zones"),
+            (line_of("core_fraction"), "control_budget.core_fraction"),
+            (line_of("core_part"), "control_budget.core_part"),
+            (line_of("[guessed]"), "guessed"),
+            (bad.lines().count() + 1, "assumed"),
+        ]
+    );
+    let text = faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n");
+    assert!(text.contains("fleet.nodes: found 530.5, expected a whole number from 1 to 1000000"), "{text}");
+    assert!(text.contains("found \"many\""), "{text}");
+}
+
+#[test]
+fn values_of_a_plan_have_to_go_together() {
+    let bad = SHIPPED
+        .replace("regions = 8", "regions = 20")
+        .replace("node_memory_least_megabytes = 32", "node_memory_least_megabytes = 512")
+        .replace("restarts_at_once = 32", "restarts_at_once = 531");
+    let faults = Plan::parse(&bad).unwrap_err();
+    let places: Vec<_> = faults.iter().map(|fault| fault.place.as_str()).collect();
+    assert_eq!(places, ["fleet.regions", "failures.restarts_at_once", "pages.node_memory_least_megabytes"]);
+    assert!(faults[0].expected.contains("at most fleet.zones, which is 19"), "{}", faults[0]);
+}
+
+#[test]
+fn what_is_no_toml_is_told_with_its_lines() {
+    let faults = Plan::parse("name = \"x\"\n[fleet\nnodes = 1\n").unwrap_err();
+    assert_eq!(faults[0].line, 2, "{faults:?}");
+}
+
+#[test]
+fn without_series_nothing_is_made_up() {
+    let (plan, none) = (shipped(), SlopesFile::default());
+    for row in all_rows() {
+        for need in &row.needs {
+            for case in Case::ALL {
+                if let Ok(value) = (need.of)(&Context { plan: &plan, slopes: &none, case }) {
+                    assert!(value.inputs.is_empty(), "{}: {}", row.name, need.what);
+                }
+            }
+        }
+    }
+    let lines = render(&plan, &none, SOURCES);
+    let membership = section(&lines, "Node: control");
+    let row = membership.iter().find(|line| line.starts_with("| membership | bytes")).unwrap();
+    assert_eq!(
+        row.matches("not measured").count(),
+        12,
+        "nine cases, need over budget, used up at, inputs: {row}"
+    );
+}
+
+#[test]
+fn the_size_at_which_a_budget_is_used_up_solves_the_fitted_cost() {
+    let plan = shipped();
+    // 16,000 B/s at 1,590 nodes.
+    let rest = slopes(&[("membership.bytes_per_second.rest", "B/s", "nodes", |size| 100.0 + 10.0 * size)]);
+    assert_eq!(used_up_at(&membership_bytes(), &plan, &rest), Some(UsedUp::From(1_591.0)));
+    let over = over_budget(&membership_bytes(), &plan, &rest).unwrap();
+    assert!((over - 5_400.0 / 16_000.0).abs() < 1e-9, "{over}");
+    let steep = slopes(&[("membership.bytes_per_second.rest", "B/s", "nodes", |size| 100.0 * size)]);
+    assert_eq!(used_up_at(&membership_bytes(), &plan, &steep), Some(UsedUp::Passed(161.0)));
+    let flat = slopes(&[("membership.bytes_per_second.rest", "B/s", "nodes", |_| 650.0)]);
+    assert_eq!(used_up_at(&membership_bytes(), &plan, &flat), Some(UsedUp::Nowhere));
+    let high = slopes(&[("membership.bytes_per_second.rest", "B/s", "nodes", |_| 65_000.0)]);
+    assert_eq!(used_up_at(&membership_bytes(), &plan, &high), Some(UsedUp::Everywhere));
+    assert_eq!(used_up_at(&membership_bytes(), &plan, &SlopesFile::default()), None);
+}
+
+#[test]
+fn needs_that_fall_with_nodes_have_a_least_size() {
+    let (plan, none) = (shipped(), SlopesFile::default());
+    let servers = need_of(
+        &find(Role::RequestPath, "connections to cache servers, at the least"),
+        Resource::Connections,
+    );
+    // 400,000 x 0.115 / 116 = 396.6 nodes that serve, and a region of 1/8 that does not: 453.2.
+    assert_eq!(used_up_at(&servers, &plan, &none), Some(UsedUp::Below(454.0)));
+    let fewer = plan.with_nodes(300.0);
+    assert_eq!(used_up_at(&servers, &fewer, &none), Some(UsedUp::Until(454.0)));
+}
+
+#[test]
+fn the_worst_case_is_named_and_loss_counts() {
+    let plan = shipped();
+    let measured = slopes(&[
+        ("membership.bytes_per_second.rest", "B/s", "nodes", |_| 650.0),
+        ("membership.bytes_per_second.peak.zone", "B/s", "nodes", |_| 7_000.0),
+        ("membership.bytes_per_second.peak.zone.loss-5-percent", "KB/s", "nodes", |_| 9.0),
+        ("membership.bytes_per_second.peak.split", "B/s", "nodes", |_| 8_000.0),
+    ]);
+    let worst = worst(&membership_bytes(), &plan, &measured).unwrap();
+    assert_eq!((worst.case, worst.value.number), (Case::ZoneLost, 9_000.0));
+    let other = Context { plan: &plan, slopes: &measured, case: Case::OtherTrouble };
+    let other = (membership_bytes().of)(&other).unwrap();
+    assert!(other.at_least && other.number == 8_000.0, "three of four were not measured: {other:?}");
+}
+
+#[test]
+fn a_unit_that_is_not_understood_gives_no_figure() {
+    let plan = shipped();
+    let odd = slopes(&[("membership.bytes_per_second.rest", "furlongs", "nodes", |_| 650.0)]);
+    let context = Context { plan: &plan, slopes: &odd, case: Case::Peak };
+    assert!(matches!((membership_bytes().of)(&context), Err(Gap::NotUnderstood { .. })));
+    let lines = render(&plan, &odd, SOURCES);
+    assert!(section(&lines, "Not measured")
+        .iter()
+        .any(|line| line.contains("\"furlongs\" is not understood")));
+}
+
+#[test]
+fn rows_without_a_mechanism_come_first_and_then_those_over_budget() {
+    let plan = shipped();
+    let measured = slopes(&[
+        ("membership.bytes_per_second.rest", "B/s", "nodes", |size| 100.0 * size),
+        ("dissemination.seconds_to_all.log", "s", "nodes", |_| 1.0),
+    ]);
+    let first = section(&render(&plan, &measured, SOURCES), "First: without a mechanism, or over budget");
+    let lacking: Vec<_> = first.iter().map(|line| line.contains("no mechanism")).collect();
+    assert!(lacking[3] && !lacking.last().unwrap(), "{first:?}");
+    assert_eq!(lacking[3..].iter().filter(|lacks| **lacks).count(), 6, "the log has one once it is measured");
+    assert!(lacking[3..].is_sorted_by(|one, other| one >= other), "{first:?}");
+    assert!(first.iter().any(|line| line.contains("membership") && line.contains("3.31 | 161, passed")));
+    assert!(!first.iter().any(|line| line.contains("purges, to every node")));
+}
+
+#[test]
+fn what_lies_outside_the_measured_sizes_is_marked() {
+    let plan = shipped().with_nodes(4_240.0);
+    let measured = slopes(&[("membership.bytes_per_second.rest", "B/s", "nodes", |size| size)]);
+    let lines = render(&plan, &measured, SOURCES);
+    assert!(section(&lines, "Node: control").iter().any(|line| line.contains("| ~4,240 B/s |")));
+    assert!(section(&lines, "Series").iter().any(|line| line.contains("2.0 times past the largest size")));
+}
+
+#[test]
+fn each_figure_names_its_series_and_each_series_its_run() {
+    let measured = slopes(&[("membership.bytes_per_second.rest", "B/s", "nodes", |size| size)]);
+    let lines = render(&shipped(), &measured, SOURCES);
+    let control = section(&lines, "Node: control");
+    let row = control.iter().find(|line| line.starts_with("| membership | bytes")).unwrap();
+    assert!(row.contains("`membership.bytes_per_second.rest`; not measured: "), "{row}");
+    let runs = section(&lines, "Runs");
+    let run = "| `walkpick-lab run scale.toml` | `membership.bytes_per_second.rest` | 2026-12-02T05:00:00Z | abc | 8 | 3 |";
+    assert!(runs.iter().any(|line| line == run), "{runs:?}");
+}
+
+#[test]
+fn modules_that_rows_name_are_there() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap();
+    for row in all_rows() {
+        let Mechanism::Modules(modules) = row.mechanism else { continue };
+        for module in modules.split(", ") {
+            assert!(root.join(module).exists(), "{}: {module}", row.name);
+        }
+    }
+}
+
+#[test]
+fn rows_lean_on_mechanisms_that_rows_lack() {
+    let none = SlopesFile::default();
+    let missing: Vec<_> = all_rows().iter().filter_map(|row| row.mechanism.missing(&none)).collect();
+    for row in all_rows() {
+        assert!(row.leans_on.iter().all(|mechanism| missing.contains(mechanism)), "{}", row.name);
+    }
+}
+
+struct Page(PathBuf);
+
+impl Page {
+    fn new(name: &str, text: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("walkpick-page-{}-{name}.md", std::process::id()));
+        std::fs::write(&path, text).unwrap();
+        Self(path)
+    }
+}
+
+impl Drop for Page {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+const EMPTY: &str =
+    "# Title\n<!-- walkpick-lab capacity: begin -->\n<!-- walkpick-lab capacity: end -->\nprose\n";
+
+#[test]
+fn a_page_is_renewed_between_its_markers_and_differences_are_told() {
+    let page = Page::new("renewed", EMPTY);
+    let tables = ["a", "b", "c"].map(str::to_owned);
+    write(&page.0, &tables).unwrap();
+    assert!(check(&page.0, &tables).unwrap().is_empty());
+    let text = std::fs::read_to_string(&page.0).unwrap();
+    assert!(text.starts_with("# Title\n") && text.ends_with("prose\n"), "{text}");
+    let changed = ["a", "B", "c"].map(str::to_owned);
+    let found = check(&page.0, &changed).unwrap();
+    assert_eq!(found, ["line 4: the page has      b", "not on the page: B"]);
+    let turned = ["a", "c", "b"].map(str::to_owned);
+    assert_eq!(check(&page.0, &turned).unwrap().len(), 1, "order counts");
+    assert_eq!(check(&page.0, &tables[..2]).unwrap().len(), 1);
+}
+
+#[test]
+fn a_page_without_its_markers_is_refused() {
+    for (name, text) in
+        [("none", "prose\n"), ("turned", &EMPTY.replace("begin", "x").replace("end", "begin"))]
+    {
+        let page = Page::new(name, text);
+        assert!(matches!(check(&page.0, &[]), Err(PageError::NoMarkers { .. })), "{name}");
+        assert!(write(&page.0, &[]).is_err());
+        assert_eq!(std::fs::read_to_string(&page.0).unwrap(), text);
+    }
+}
+
+#[test]
+fn the_plot_has_the_rows_with_a_budget() {
+    let measured = slopes(&[("membership.bytes_per_second.rest", "B/s", "nodes", |size| 10.0 * size)]);
+    let svg = plot(&shipped(), &measured).unwrap();
+    assert!(svg.contains("<svg") && svg.contains("node: control, membership, bytes"), "{svg}");
+    assert!(svg.contains("origin, fetches"), "{svg}");
+}
--- /dev/null
+++ b/lab/src/capacity/values.rs
@@ -0,0 +1,207 @@
+//! Needs as they are worked out: a number, what it came from, and how far that was measured.
+
+use super::rows::Resource;
+use super::{demand, Case, Plan};
+use crate::slopes::{Estimate, Reach, Recorded, SlopesFile};
+use std::collections::BTreeSet;
+
+/// What the name of a series goes on with where it was measured with datagrams lost.
+const LOSS_SUFFIX: &str = ".loss";
+
+/// A number that rows compute with.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Value {
+    /// The number.
+    pub number: f64,
+    /// Names of the series that it was worked out from; none where the plan alone gave it.
+    pub inputs: BTreeSet<String>,
+    /// Some of it lies outside the measured sizes.
+    pub extrapolated: bool,
+    /// Some of what it should cover was not measured: it is this much at the least.
+    pub at_least: bool,
+}
+
+impl Value {
+    /// From the plan alone.
+    pub fn plan(number: f64) -> Self {
+        Self { number, inputs: BTreeSet::new(), extrapolated: false, at_least: false }
+    }
+
+    /// Both together.
+    pub fn plus(self, other: Self) -> Self {
+        Self { number: self.number + other.number, ..self.joined(other) }
+    }
+
+    /// Times a number of the plan.
+    pub fn times(self, factor: f64) -> Self {
+        Self { number: self.number * factor, ..self }
+    }
+
+    /// The larger one.
+    pub fn largest(self, other: Self) -> Self {
+        Self { number: self.number.max(other.number), ..self.joined(other) }
+    }
+
+    fn joined(&self, other: Self) -> Self {
+        Self {
+            number: self.number,
+            inputs: self.inputs.union(&other.inputs).cloned().collect(),
+            extrapolated: self.extrapolated || other.extrapolated,
+            at_least: self.at_least || other.at_least,
+        }
+    }
+}
+
+/// Why there is no number.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Gap {
+    /// The case does not concern the row.
+    NotApplicable,
+    /// No such series.
+    NotMeasured(String),
+    /// The series' unit or what it stands against is not understood.
+    NotUnderstood {
+        /// The series.
+        series: String,
+        /// What is not understood.
+        found: String,
+    },
+}
+
+/// What a need comes to.
+pub type Needed = Result<Value, Gap>;
+
+/// What needs are worked out from.
+#[derive(Clone, Copy, Debug)]
+pub struct Context<'a> {
+    /// The plan.
+    pub plan: &'a Plan,
+    /// What was measured.
+    pub slopes: &'a SlopesFile,
+    /// What happens.
+    pub case: Case,
+}
+
+/// Which of several plays counts.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Plays {
+    Mean,
+    Largest,
+}
+
+impl Context<'_> {
+    /// The mean of a series at the plan's size, in the resource's unit.
+    pub fn mean(&self, name: &str, resource: Resource) -> Needed {
+        self.series(name, resource, Plays::Mean, demand::requests_per_node(self.plan, self.case))
+    }
+
+    /// The largest play of a series at the plan's size.
+    pub fn largest(&self, name: &str, resource: Resource) -> Needed {
+        self.series(name, resource, Plays::Largest, demand::requests_per_node(self.plan, self.case))
+    }
+
+    /// The mean at another rate of requests a node, where the series stands against that.
+    pub fn at_rate(&self, name: &str, resource: Resource, rate: f64) -> Needed {
+        self.series(name, resource, Plays::Mean, rate)
+    }
+
+    /// The first of these series that was measured: the largest play.
+    pub fn first_of(&self, names: &[&str], resource: Resource) -> Needed {
+        let known = names.iter().find(|name| self.slopes.find(name).is_some());
+        match (known, names.first()) {
+            (Some(name), _) | (None, Some(name)) => self.largest(name, resource),
+            (None, None) => Err(Gap::NotApplicable),
+        }
+    }
+
+    /// The largest of all these series that were measured; at least that where some were not.
+    pub fn largest_of(&self, names: &[&str], resource: Resource) -> Needed {
+        let found: Vec<_> = names.iter().map(|name| self.largest(name, resource)).collect();
+        let missing = found.iter().any(Result::is_err);
+        let first = found.iter().find_map(|one| one.as_ref().err()).cloned();
+        let largest = found.into_iter().flatten().reduce(Value::largest);
+        match largest {
+            Some(value) => Ok(Value { at_least: value.at_least || missing, ..value }),
+            None => Err(first.unwrap_or(Gap::NotApplicable)),
+        }
+    }
+
+    /// A series whose name begins so: the largest play of the first one.
+    pub fn beginning(&self, prefix: &str, resource: Resource) -> Needed {
+        match self.slopes.recorded().iter().find(|one| one.series.name.starts_with(prefix)) {
+            Some(one) => self.largest(&one.series.name, resource),
+            None => Err(Gap::NotMeasured(format!("{prefix}*"))),
+        }
+    }
+
+    fn series(&self, name: &str, resource: Resource, plays: Plays, rate: f64) -> Needed {
+        let recorded = self.slopes.find(name).ok_or_else(|| Gap::NotMeasured(name.to_owned()))?;
+        let value = self.value_of(recorded, resource, plays, rate)?;
+        match plays {
+            Plays::Mean => Ok(value),
+            Plays::Largest => self.with_loss(name, value, resource, rate),
+        }
+    }
+
+    /// The largest of a value and of the same series measured with datagrams lost (`NAME.loss...`).
+    fn with_loss(&self, name: &str, value: Value, resource: Resource, rate: f64) -> Needed {
+        let beginning = format!("{name}{LOSS_SUFFIX}");
+        let mut lossy = self.slopes.recorded().iter().filter(|one| one.series.name.starts_with(&beginning));
+        lossy.try_fold(value, |value, recorded| {
+            Ok(value.largest(self.value_of(recorded, resource, Plays::Largest, rate)?))
+        })
+    }
+
+    fn value_of(&self, recorded: &Recorded, resource: Resource, plays: Plays, rate: f64) -> Needed {
+        let series = &recorded.series;
+        let not_understood =
+            |found: &str| Gap::NotUnderstood { series: series.name.clone(), found: found.to_owned() };
+        let factor = resource.factor(&series.unit).ok_or_else(|| not_understood(&series.unit))?;
+        let size = size_against(&series.against, self.plan, self.case, rate)
+            .ok_or_else(|| not_understood(&series.against))?;
+        let Estimate { value, reach } = estimate(recorded, size, plays);
+        let mut needed = Value::plan(value * factor);
+        needed.inputs.insert(series.name.clone());
+        needed.extrapolated = reach != Reach::Measured;
+        Ok(needed)
+    }
+}
+
+fn estimate(recorded: &Recorded, size: f64, plays: Plays) -> Estimate {
+    match plays {
+        Plays::Mean => recorded.fit.at(size),
+        Plays::Largest => recorded.fit.largest_at(size),
+    }
+}
+
+/// The plan's size in what a series stands against; none where that word is not known.
+pub fn size_against(against: &str, plan: &Plan, case: Case, rate: f64) -> Option<f64> {
+    let against = against.to_lowercase().replace('_', " ");
+    let has = |word: &str| against.contains(word);
+    let size = if has("lost") && has("server") {
+        plan.servers / plan.zones
+    } else if has("lost") {
+        plan.nodes / plan.zones
+    } else if has("request") || has("rate") {
+        rate
+    } else if has("byte") || has("kb") || has("answer") {
+        demand::answer_bytes(plan)
+    } else if has("connection") {
+        demand::in_flight_per_node(plan, case)
+    } else if has("in flight") {
+        demand::in_flight_per_node(plan, case)
+    } else if has("server") {
+        plan.servers
+    } else if has("node") || has("peer") || has("member") || has("watch") {
+        plan.nodes
+    } else if has("zone") {
+        plan.zones
+    } else if has("class") {
+        plan.classes
+    } else if has("tenant") {
+        1.0
+    } else {
+        return None;
+    };
+    Some(size)
+}
--- a/lab/src/commands/mod.rs
+++ b/lab/src/commands/mod.rs
@@ -1,3 +1,4 @@
 //! The program's commands that have modules of their own.
 
+pub mod capacity;
 pub mod slopes;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -13,7 +13,8 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use walkpick_lab::commands::slopes;
+use walkpick_lab::capacity::{PageError, PlanError};
+use walkpick_lab::commands::{capacity, slopes};
 use walkpick_lab::experiment::{self, Arm, Driver, Experiment, ExperimentError, Policy, What};
 use walkpick_lab::judge::{self, Result as Run};
 use walkpick_lab::membership::{Case, CASES};
@@ -39,6 +40,8 @@
     Calibrate(CalibrateArgs),
     /// Run cases of membership among any number of peers in simulated time
     Membership(MembershipArgs),
+    /// Work out from a plan and the slopes what each role needs, and keep the page true
+    Capacity(capacity::CapacityArgs),
     /// Take measured series into the slopes file, or show it
     Slopes(slopes::SlopesArgs),
     /// Run again what a JSON of results came from, and tell whether the same comes out
@@ -213,6 +216,7 @@
         Command::Compare(args) => compare(&args),
         Command::Calibrate(args) => calibrate(&args),
         Command::Membership(args) => membership(&args).map(|()| true),
+        Command::Capacity(args) => capacity::run(&args),
         Command::Slopes(args) => slopes::run(&args),
         Command::Replay { file, how } => replay(&file, &how),
         Command::Init { file } => init(&file).map(|()| true),
@@ -243,6 +247,8 @@
         || error.is::<UnknownName>()
         || error.is::<SlopesError>()
         || error.is::<slopes::SeriesFaults>()
+        || error.is::<PlanError>()
+        || error.is::<PageError>()
 }
 
 #[derive(Debug, thiserror::Error)]
--- a/lab/src/slopes/file.rs
+++ b/lab/src/slopes/file.rs
@@ -1,7 +1,7 @@
 //! The slopes file: series with when, where and on which commit they were measured, and their fits.
 
 use super::read::{read_json, Reader};
-use super::{Fit, Series, SlopesError};
+use super::{Fit, Method, Series, SlopesError};
 use serde::Serialize;
 use serde_json::Value;
 use std::path::Path;
@@ -83,6 +83,17 @@
         &self.recorded
     }
 
+    /// The series of this name; of several methods the one nearest to what runs.
+    pub fn find(&self, name: &str) -> Option<&Recorded> {
+        let nearness = |recorded: &&Recorded| match recorded.series.method {
+            Method::Real => 0,
+            Method::Hollow => 1,
+            Method::Simulated => 2,
+            Method::InProcess => 3,
+        };
+        self.recorded.iter().filter(|recorded| recorded.series.name == name).min_by_key(nearness)
+    }
+
     /// Takes a series in; one of the same name and method gives way to it.
     pub fn add(&mut self, recorded: Recorded) {
         let key = |recorded: &Recorded| (recorded.series.name.clone(), recorded.series.method);
@@ -101,6 +112,9 @@
 
     /// As it stands in the file.
     pub fn render(&self) -> Result<String, serde_json::Error> {
+        if self.recorded.is_empty() {
+            return Ok("{\"series\": []}\n".to_owned());
+        }
         let all: Result<Vec<_>, _> = self.recorded.iter().map(render_one).collect();
         Ok(format!("{{\"series\": [\n{}\n]}}\n", all?.join(",\n")))
     }
--- a/lab/src/slopes/fit.rs
+++ b/lab/src/slopes/fit.rs
@@ -89,6 +89,9 @@
     pub from: f64,
     /// The largest size.
     pub to: f64,
+    /// The most that a play lies above the line.
+    #[serde(skip)]
+    pub above: f64,
     /// The mean at each size, in the order of sizes.
     #[serde(skip)]
     pub means: Vec<Mean>,
@@ -166,8 +169,11 @@
             plays: points.len(),
             from: first.size,
             to: last.size,
+            above: 0.0,
             means,
         };
+        let above = points.iter().map(|point| point.value - fit.line(point.size));
+        fit.above = above.fold(0.0, f64::max);
         fit.verdict = fit.judge();
         Some(fit)
     }
@@ -193,7 +199,17 @@
     pub fn at(&self, size: f64) -> Estimate {
         let value = match self.verdict {
             Verdict::Straight => self.line(size),
-            Verdict::TooFewSizes | Verdict::NoStraightLine => self.between_means(size),
+            Verdict::TooFewSizes | Verdict::NoStraightLine => between(&self.means, size, |mean| mean.value),
+        };
+        Estimate { value: value.max(0.0), reach: self.reach(size) }
+    }
+
+    /// The same for the largest play in place of the mean: the line and the most that a play lay above it, or between the
+    /// largest plays of the nearest sizes.
+    pub fn largest_at(&self, size: f64) -> Estimate {
+        let value = match self.verdict {
+            Verdict::Straight => self.line(size) + self.above,
+            Verdict::TooFewSizes | Verdict::NoStraightLine => between(&self.means, size, |mean| mean.largest),
         };
         Estimate { value: value.max(0.0), reach: self.reach(size) }
     }
@@ -207,25 +223,18 @@
             Reach::Measured
         }
     }
-
-    /// Straight from mean to mean; past the ends as the last two sizes go on.
-    fn between_means(&self, size: f64) -> f64 {
-        let Some(after) = self.means.iter().position(|mean| mean.size >= size) else {
-            return self.means.last().map_or(0.0, |last| match self.means.len() {
-                0 | 1 => last.value,
-                n => through(self.means[n - 2], *last, size),
-            });
-        };
-        match (after, self.means.len()) {
-            (_, 1) => self.means[0].value,
-            (0, _) => through(self.means[0], self.means[1], size),
-            (after, _) => through(self.means[after - 1], self.means[after], size),
-        }
-    }
 }
 
-fn through(from: Mean, to: Mean, size: f64) -> f64 {
-    from.value + (to.value - from.value) * (size - from.size) / (to.size - from.size)
+/// Straight from size to size; past the ends as the two nearest sizes go on.
+fn between(means: &[Mean], size: f64, value: impl Fn(&Mean) -> f64) -> f64 {
+    let after = means.iter().position(|mean| mean.size >= size).unwrap_or(means.len());
+    let last = means.len().saturating_sub(1);
+    let to = after.clamp(1.min(last), last);
+    let (Some(from), Some(to)) = (means.get(to.saturating_sub(1)), means.get(to)) else { return 0.0 };
+    if from.size == to.size {
+        return value(to);
+    }
+    value(from) + (value(to) - value(from)) * (size - from.size) / (to.size - from.size)
 }
 
 fn means(points: &[Point]) -> Vec<Mean> {
