--- a/lab/src/capacity/tests.rs
+++ b/lab/src/capacity/tests.rs
@@ -14,8 +14,11 @@
     Plan::parse(SHIPPED).unwrap()
 }
 
-/// A slopes file of series in these units, each a function of its size.
-fn slopes(series: &[(&str, &str, &str, fn(f64) -> f64)]) -> SlopesFile {
+/// A series: its name, its unit, what it stands against, and the cost of a size.
+type Made = (&'static str, &'static str, &'static str, fn(f64) -> f64);
+
+/// A slopes file of these series.
+fn slopes(series: &[Made]) -> SlopesFile {
     let mut file = SlopesFile::default();
     for (name, unit, against, cost) in series {
         let points = SIZES.iter().map(|size| Point { size: *size, value: cost(*size), seed: 3 }).collect();
--- a/lab/src/capacity/values.rs
+++ b/lab/src/capacity/values.rs
@@ -177,31 +177,40 @@
 /// The plan's size in what a series stands against; none where that word is not known.
 pub fn size_against(against: &str, plan: &Plan, case: Case, rate: f64) -> Option<f64> {
     let against = against.to_lowercase().replace('_', " ");
-    let has = |word: &str| against.contains(word);
-    let size = if has("lost") && has("server") {
-        plan.servers / plan.zones
-    } else if has("lost") {
-        plan.nodes / plan.zones
-    } else if has("request") || has("rate") {
-        rate
-    } else if has("byte") || has("kb") || has("answer") {
-        demand::answer_bytes(plan)
-    } else if has("connection") {
-        demand::in_flight_per_node(plan, case)
-    } else if has("in flight") {
-        demand::in_flight_per_node(plan, case)
-    } else if has("server") {
-        plan.servers
-    } else if has("node") || has("peer") || has("member") || has("watch") {
-        plan.nodes
-    } else if has("zone") {
-        plan.zones
-    } else if has("class") {
-        plan.classes
-    } else if has("tenant") {
-        1.0
-    } else {
-        return None;
-    };
-    Some(size)
+    let words = SIZES.iter().find(|(words, _)| words.split(' ').all(|word| against.contains(word)));
+    words.map(|(_, size)| match size {
+        Size::Rate => rate,
+        Size::Plan(of) => of(plan),
+        Size::OfCase(of) => of(plan, case),
+    })
 }
+
+/// A size that series stand against.
+enum Size {
+    /// Requests a second of a node.
+    Rate,
+    /// What the plan says.
+    Plan(fn(&Plan) -> f64),
+    /// What the plan says in a case.
+    OfCase(fn(&Plan, Case) -> f64),
+}
+
+/// The words in what a series stands against, and the size they mean; the first entry whose words are all there counts.
+const SIZES: [(&str, Size); 16] = [
+    ("lost server", Size::Plan(|plan| plan.servers / plan.zones)),
+    ("lost", Size::Plan(|plan| plan.nodes / plan.zones)),
+    ("request", Size::Rate),
+    ("rate", Size::Rate),
+    ("byte", Size::Plan(demand::answer_bytes)),
+    ("answer", Size::Plan(demand::answer_bytes)),
+    ("connection", Size::OfCase(demand::in_flight_per_node)),
+    ("in flight", Size::OfCase(demand::in_flight_per_node)),
+    ("server", Size::Plan(|plan| plan.servers)),
+    ("node", Size::Plan(|plan| plan.nodes)),
+    ("peer", Size::Plan(|plan| plan.nodes)),
+    ("member", Size::Plan(|plan| plan.nodes)),
+    ("watch", Size::Plan(|plan| plan.nodes)),
+    ("zone", Size::Plan(|plan| plan.zones)),
+    ("class", Size::Plan(|plan| plan.classes)),
+    ("tenant", Size::Plan(|_| 1.0)),
+];
