--- a/lab/src/capacity/demand.rs
+++ b/lab/src/capacity/demand.rs
@@ -135,7 +135,12 @@
 
 /// Connections to cache servers that the smallest node may hold.
 pub fn server_connections_budget(plan: &Plan) -> f64 {
-    (plan.node_descriptors_least - DESCRIPTORS_KEPT) / 2.0
+    server_connections(plan.node_descriptors_least)
+}
+
+/// Connections to cache servers that a node with so many descriptors may hold.
+pub fn server_connections(descriptors: f64) -> f64 {
+    (descriptors - DESCRIPTORS_KEPT) / 2.0
 }
 
 /// Clients' connections with a request that the smallest node may have.
--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -12,6 +12,7 @@
 mod values;
 
 pub use cases::Case;
+pub use figures::number;
 pub use page::{check, write, PageError};
 pub use plan::{Plan, PlanError, PlanFault};
 pub use plot::plot;
--- a/lab/src/capacity/render.rs
+++ b/lab/src/capacity/render.rs
@@ -5,7 +5,7 @@
 use super::solve::{over_budget, used_up_at, worst};
 use super::values::{size_against, Needed};
 use super::{demand, Case, Context, Gap, Plan, Resource, Value};
-use crate::slopes::{Fit, Recorded, SlopesFile, Verdict};
+use crate::slopes::{Recorded, SlopesFile};
 
 const NOTHING: &str = "-";
 const NOT_MEASURED: &str = "not measured";
@@ -70,7 +70,7 @@
             ),
             String::new(),
             "`~`: outside the measured sizes (the table of series says how far). `>=`: some of what it covers was not \
-             measured. `not measured`: no series yet. `-`: the case does not concern it. Need over budget is that of the \
+             measured. `not measured`: no series yet. `-`: the case does not concern it. A role's first table stands at the peak, its second has every case. Need over budget is that of the \
              worst case. Used up at: the number of nodes at which the worst case reaches the budget, all else of the plan \
              being as it is. The plan gives requests at the peak alone: an ordinary day has no more. A region that is cut off is \
              taken for lost, its clients for coming to the others. KB, MB, GB are decimal."
@@ -274,7 +274,11 @@
             .filter_map(|need| Some((need, over_budget(need, self.plan, self.slopes)?)))
             .max_by(|one, other| one.1.total_cmp(&other.1));
         let (over, used_up) = match tightest {
-            Some((need, over)) => (format!("{} ({})", number(over), label(need)), self.used_up(need)),
+            Some((need, over)) => {
+                let case = worst(need, self.plan, self.slopes).map(|worst| worst.case.to_string());
+                let case = case.unwrap_or_default();
+                (format!("{} ({}; {case})", number(over), label(need)), self.used_up(need))
+            }
             None if row.needs.iter().any(|need| need.budget.is_some()) => {
                 (NOT_MEASURED.to_owned(), NOT_MEASURED.to_owned())
             }
@@ -377,7 +381,7 @@
             series.against.clone(),
             sizes.join(" / "),
             fit.plays.to_string(),
-            formula(fit),
+            fit.formula(number),
             format!("{} ({}%)", number(fit.residual), number(100.0 * fit.relative_residual)),
             number(fit.r_squared),
             at,
@@ -495,19 +499,6 @@
     groups.collect::<Vec<_>>().join(", ")
 }
 
-fn formula(fit: &Fit) -> String {
-    let line = match fit.slope {
-        0.0 => number(fit.intercept),
-        slope => format!("{} + {} x {}", number(fit.intercept), number(slope), fit.shape),
-    };
-    let means: Vec<_> = fit.means.iter().map(|mean| number(mean.value)).collect();
-    match fit.verdict {
-        Verdict::Straight => line,
-        Verdict::TooFewSizes => format!("too few sizes; means {}", means.join(" / ")),
-        Verdict::NoStraightLine => format!("no straight line; means {}", means.join(" / ")),
-    }
-}
-
 fn heading(title: &str) -> Vec<String> {
     vec![String::new(), format!("### {title}"), String::new()]
 }
--- a/lab/src/capacity/rows/operations.rs
+++ b/lab/src/capacity/rows/operations.rs
@@ -9,7 +9,7 @@
 const LOG_TIME: &str = "dissemination.seconds_to_all.log";
 
 pub(super) fn rows() -> Vec<Row> {
-    vec![entries(), acknowledgements(), publish(), release(), view()]
+    vec![entries(), acknowledgements(), publish(), release(), failed_machines(), view()]
 }
 
 fn row(
@@ -93,6 +93,26 @@
     Row { leans_on: &[DISSEMINATION], ..row }
 }
 
+fn failed_machines() -> Row {
+    row(
+        Role::Operator,
+        "machines that fail or are replaced",
+        |plan| {
+            format!(
+                "{} fail on an ordinary day, {} restarts or replacements",
+                count(plan.machines_per_day),
+                count(plan.restarts_at_once)
+            )
+        },
+        Mechanism::Modules("src/peers/"),
+        vec![need(Resource::Seconds, |context| {
+            let kill = ["hollow.seconds_to_know.kill", "membership.seconds_to_know.kill"];
+            context.first_of(&kill, Resource::Seconds)
+        })
+        .called("until all know of one")],
+    )
+}
+
 fn view() -> Row {
     row(
         Role::Operator,
--- a/lab/src/capacity/rows/request_path.rs
+++ b/lab/src/capacity/rows/request_path.rs
@@ -112,7 +112,11 @@
 fn to_servers() -> Row {
     row(
         "connections to cache servers, at the least",
-        |plan| format!("{} from all nodes together", count(demand::connections_at_least(plan))),
+        |plan| {
+            let all = count(demand::connections_at_least(plan));
+            let most = count(demand::server_connections(plan.node_descriptors_most));
+            format!("{all} from all nodes together; the largest node may hold {most}")
+        },
         "src/net/upstream.rs",
         vec![within(
             Resource::Connections,
--- a/lab/src/commands/slopes.rs
+++ b/lab/src/commands/slopes.rs
@@ -1,6 +1,7 @@
 //! `walkpick-lab slopes`: takes measured series into the slopes file, and shows what it holds.
 
-use crate::slopes::{read_series, Recorded, SlopesError, SlopesFile, Stamp, Verdict};
+use crate::capacity::number;
+use crate::slopes::{read_series, Recorded, SlopesError, SlopesFile, Stamp};
 use clap::{Args, Subcommand};
 use std::error::Error;
 use std::io::{self, Write};
@@ -107,29 +108,18 @@
             "  {} on {}, {} cores, commit {}",
             series.command, stamp.date, stamp.cores, stamp.commit
         )?;
+        writeln!(out, "  {}", fit.formula(number))?;
         writeln!(
             out,
-            "  {:.4} + {:.6} x {}; residual {:.4} ({:.1}%), R squared {:.3}; {} plays at {} sizes, {} to {}",
-            fit.intercept,
-            fit.slope,
-            fit.shape,
-            fit.residual,
+            "  residual {} ({:.1}%), R squared {:.3}; {} plays at {} sizes, {} to {}",
+            number(fit.residual),
             100.0 * fit.relative_residual,
             fit.r_squared,
             fit.plays,
             fit.sizes,
-            fit.from,
-            fit.to
+            number(fit.from),
+            number(fit.to)
         )?;
-        match fit.verdict {
-            Verdict::Straight => {}
-            Verdict::TooFewSizes => writeln!(out, "  too few sizes for a fit: {}", fit.sizes)?,
-            Verdict::NoStraightLine => writeln!(out, "  no straight line")?,
-        }
-        if fit.verdict != Verdict::Straight {
-            let points = fit.means.iter().map(|mean| format!("{}: {:.4}", mean.size, mean.value));
-            writeln!(out, "  {}", points.collect::<Vec<_>>().join(", "))?;
-        }
     }
     Ok(())
 }
--- a/lab/src/slopes/fit.rs
+++ b/lab/src/slopes/fit.rs
@@ -178,6 +178,20 @@
         Some(fit)
     }
 
+    /// The line in words; where no line holds, why, and the mean of each size.
+    pub fn formula(&self, number: impl Fn(f64) -> String) -> String {
+        let line = match self.shape {
+            Shape::Constant => number(self.intercept),
+            shape => format!("{} + {} x {shape}", number(self.intercept), number(self.slope)),
+        };
+        let means: Vec<_> = self.means.iter().map(|mean| number(mean.value)).collect();
+        match self.verdict {
+            Verdict::Straight => line,
+            Verdict::TooFewSizes => format!("too few sizes; means {}", means.join(" / ")),
+            Verdict::NoStraightLine => format!("no straight line; means {}", means.join(" / ")),
+        }
+    }
+
     fn judge(&self) -> Verdict {
         if self.sizes < FEWEST_SIZES {
             return Verdict::TooFewSizes;
--- a/lab/tests/slopes.rs
+++ b/lab/tests/slopes.rs
@@ -57,8 +57,8 @@
     let text = out(&shown);
     assert_eq!(shown.status.code(), Some(0), "{text}");
     assert!(text.contains("a (simulated), B/s against nodes"), "{text}");
-    assert!(text.contains("10.0000 + 1.000000 x size"), "{text}");
-    assert!(text.contains("10.0000 + 3.000000 x size") && !text.contains("2.000000"), "{text}");
+    assert!(text.contains("  10 + 1 x size\n"), "{text}");
+    assert!(text.contains("  10 + 3 x size\n") && !text.contains("2 x size"), "{text}");
     assert!(text.contains("cores, commit abc"), "{text}");
     let json: serde_json::Value = serde_json::from_str(&std::fs::read_to_string(&slopes).unwrap()).unwrap();
     let date = json["series"][1]["date"].as_str().unwrap();
