--- a/lab/src/commands/mod.rs
+++ b/lab/src/commands/mod.rs
@@ -1,6 +1,8 @@
 //! The commands of the lab's program, each in a module of its own.
 
+pub mod capacity;
 pub mod membership;
+pub mod slopes;
 
 /// A name that the command line gave and that is not known.
 #[derive(Debug, thiserror::Error)]
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -13,11 +13,13 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use walkpick_lab::capacity::{PageError, PlanError};
 use walkpick_lab::cluster::cases::NotApplicable;
-use walkpick_lab::commands::{membership, UnknownName};
+use walkpick_lab::commands::{capacity, membership, slopes, UnknownName};
 use walkpick_lab::experiment::{self, Arm, Driver, Experiment, ExperimentError, Policy, What};
 use walkpick_lab::judge::{self, Result as Run};
 use walkpick_lab::real::{self, process, Options, RealError};
+use walkpick_lab::slopes::SlopesError;
 use walkpick_lab::world::World;
 use walkpick_lab::{model, report};
 
@@ -38,6 +40,10 @@
     Calibrate(CalibrateArgs),
     /// Run cases of membership among any number of peers in simulated time
     Membership(membership::MembershipArgs),
+    /// Work out from a plan and the slopes what each role needs, and keep the page true
+    Capacity(capacity::CapacityArgs),
+    /// Take measured series into the slopes file, or show it
+    Slopes(slopes::SlopesArgs),
     /// Run again what a JSON of results came from, and tell whether the same comes out
     Replay {
         /// What `run --json` wrote
@@ -188,6 +194,8 @@
         Command::Compare(args) => compare(&args),
         Command::Calibrate(args) => calibrate(&args),
         Command::Membership(args) => membership::run(&args),
+        Command::Capacity(args) => capacity::run(&args),
+        Command::Slopes(args) => slopes::run(&args),
         Command::Replay { file, how } => replay(&file, &how),
         Command::Init { file } => init(&file).map(|()| true),
         Command::List { folder } => list(&folder).map(|()| true),
@@ -202,16 +210,26 @@
             for line in error.to_string().lines() {
                 eprintln!("walkpick-lab: {line}");
             }
-            match error.downcast_ref::<ExperimentError>() {
-                Some(_) => ExitCode::from(BAD_INPUT),
-                None if error.downcast_ref::<UnknownName>().is_some() => ExitCode::from(BAD_INPUT),
-                None if error.downcast_ref::<NotApplicable>().is_some() => ExitCode::from(BAD_INPUT),
-                None => ExitCode::FAILURE,
+            if bad_input(error.as_ref()) {
+                ExitCode::from(BAD_INPUT)
+            } else {
+                ExitCode::FAILURE
             }
         }
     }
 }
 
+/// Whether what was given is at fault.
+fn bad_input(error: &(dyn Error + 'static)) -> bool {
+    error.is::<ExperimentError>()
+        || error.is::<UnknownName>()
+        || error.is::<NotApplicable>()
+        || error.is::<SlopesError>()
+        || error.is::<slopes::SeriesFaults>()
+        || error.is::<PlanError>()
+        || error.is::<PageError>()
+}
+
 type Done = Result<bool, Box<dyn Error>>;
 
 /// A run that is asked for.
