walkpick-lab hollow: the control part of many nodes in few processes, on real sockets

Membership at the size to design for (530 nodes) could be run in simulated time only. Each hollow node has an address of its own in 127.0.0.0/8, its real Peers, its UDP socket and timers, and no request path; a table of regions and zones delays and loses datagrams on the sender's side before the real send. The lab starts at most 16 processes under its hold, talks to them in JSON lines, checks memory and processes before the start, and calls a run void where it was late itself. Faults: a node, a rack of 12, a zone killed, 32 restarted, a region cut off. Complete nodes can stand beside them in the same cluster, under load; the real driver tells where its nodes are and takes further seeds for that.

--- /dev/null
+++ b/lab/src/hollow/series.rs
@@ -0,0 +1,78 @@
+//! A run's figures as series against the number of nodes, in the form that all measuring tools of the lab share.
+
+use super::run::HollowRun;
+use serde::{Deserialize, Serialize};
+
+/// A cost that was measured at several sizes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Series {
+    /// What it is called.
+    pub name: String,
+    /// The unit of the values.
+    pub unit: String,
+    /// What the sizes count.
+    pub against: String,
+    /// How it was measured.
+    pub method: String,
+    /// The command that measures it again.
+    pub command: String,
+    /// One point for each play.
+    pub points: Vec<Point>,
+}
+
+/// One play.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Point {
+    /// Hollow and complete nodes together.
+    pub size: usize,
+    /// What was measured.
+    pub value: f64,
+    /// The seed.
+    pub seed: u64,
+}
+
+/// Figures that become series: their name, the series and its unit.
+const SERIES: &[(&str, &str, &str)] = &[
+    ("rest_bytes", "hollow.bytes_per_second.rest", "B/s"),
+    ("rest_peak_bytes", "hollow.bytes_per_second.peak.rest", "B/s"),
+    ("join_peak_bytes", "hollow.bytes_per_second.peak.join", "B/s"),
+    ("kill_peak_bytes", "hollow.bytes_per_second.peak.kill", "B/s"),
+    ("rack_peak_bytes", "hollow.bytes_per_second.peak.rack", "B/s"),
+    ("zone_peak_bytes", "hollow.bytes_per_second.peak.zone", "B/s"),
+    ("restart_peak_bytes", "hollow.bytes_per_second.peak.restart", "B/s"),
+    ("region_peak_bytes", "hollow.bytes_per_second.peak.region", "B/s"),
+    ("core_fraction", "hollow.processor_core_fraction", "core"),
+    ("memory_bytes", "hollow.memory_bytes", "B"),
+    ("kill_known_all_s", "hollow.seconds_to_know.kill", "s"),
+    ("met_s", "hollow.seconds_to_meet", "s"),
+];
+
+/// The series of runs that count: void and interrupted ones give no points. Each loss above zero has series of its own.
+pub fn series(runs: &[HollowRun], command: &str) -> Vec<Series> {
+    let mut losses: Vec<f64> = runs.iter().map(|run| run.loss).collect();
+    losses.sort_by(f64::total_cmp);
+    losses.dedup();
+    let of_losses = losses.into_iter().flat_map(|loss| SERIES.iter().map(move |of| (loss, of)));
+    let all = of_losses.map(|(loss, (figure, name, unit))| Series {
+        name: if loss > 0.0 {
+            format!("{name}.loss-{:.0}-percent", loss * 100.0)
+        } else {
+            (*name).to_owned()
+        },
+        unit: (*unit).to_owned(),
+        against: "nodes".to_owned(),
+        method: "hollow".to_owned(),
+        command: command.to_owned(),
+        points: points(runs, loss, figure),
+    });
+    all.filter(|series| !series.points.is_empty()).collect()
+}
+
+fn points(runs: &[HollowRun], loss: f64, figure: &str) -> Vec<Point> {
+    let counted = runs.iter().filter(|run| run.loss == loss && run.void.is_none() && !run.interrupted);
+    let values = counted.filter_map(|run| {
+        let value = *run.figures.get(figure)?;
+        Some(Point { size: run.nodes + run.complete, value, seed: run.seed })
+    });
+    values.collect()
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,8 +1,10 @@
 //! An emulator of a whole deployment of walkpick: a model of everything around the nodes, two drivers of it (simulated
 //! time, and real nodes on loopback sockets), faults on a schedule, and judges. The program is `walkpick-lab`.
 
+pub mod commands;
 pub mod draw;
 pub mod experiment;
+pub mod hollow;
 pub mod judge;
 pub mod membership;
 pub mod model;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -13,6 +13,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use walkpick_lab::commands::hollow;
 use walkpick_lab::experiment::{self, Arm, Driver, Experiment, ExperimentError, Policy, What};
 use walkpick_lab::judge::{self, Result as Run};
 use walkpick_lab::membership::{Case, CASES};
@@ -37,6 +38,11 @@
     Calibrate(CalibrateArgs),
     /// Run cases of membership among any number of peers in simulated time
     Membership(MembershipArgs),
+    /// Run the control part of many nodes in few processes, on real sockets in real time
+    Hollow(hollow::HollowArgs),
+    /// Become a process of hollow nodes, which the lab talks to
+    #[command(hide = true)]
+    HollowProcess,
     /// Run again what a JSON of results came from, and tell whether the same comes out
     Replay {
         /// What `run --json` wrote
@@ -209,6 +215,8 @@
         Command::Compare(args) => compare(&args),
         Command::Calibrate(args) => calibrate(&args),
         Command::Membership(args) => membership(&args).map(|()| true),
+        Command::Hollow(args) => hollow::run(&args),
+        Command::HollowProcess => hollow::run_process(),
         Command::Replay { file, how } => replay(&file, &how),
         Command::Init { file } => init(&file).map(|()| true),
         Command::List { folder } => list(&folder).map(|()| true),
@@ -320,7 +328,7 @@
             let folder = folder.join(format!("walkpick-lab-{}-{name}-{seed}", std::process::id()));
             let lab = std::env::current_exe().unwrap_or_else(|_| "walkpick-lab".into());
             let program = how.node.clone().unwrap_or_else(|| lab.with_file_name("walkpick"));
-            let options = Options { program, lab, folder, lateness: how.lateness };
+            let options = Options { program, lab, folder, lateness: how.lateness, company: None };
             let run = real::run(experiment, name, arm, seed, &options, stop, &told);
             if how.logs.is_none() && run.is_ok() {
                 // What is left behind is a folder of the system's for such things.
--- a/lab/src/real/mod.rs
+++ b/lab/src/real/mod.rs
@@ -20,12 +20,14 @@
 use nix::sys::signal::Signal;
 use process::ProcessError;
 use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::runtime;
+use tokio::sync::mpsc;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{interval, sleep_until, timeout_at, Instant};
 
@@ -86,6 +88,26 @@
     pub folder: PathBuf,
     /// A run in which one in a hundred things came later than this, or one ten times as late, is void.
     pub lateness: Duration,
+    /// Further peers of the nodes that meet, which the run does not hold itself.
+    pub company: Option<Company>,
+}
+
+/// Peers of the nodes that others hold: nodes have them as further seeds.
+#[derive(Clone, Debug)]
+pub struct Company {
+    /// Where they are reached.
+    pub seeds: Vec<SocketAddr>,
+    /// Is told where the nodes are, before they start.
+    pub nodes: mpsc::Sender<Vec<Reached>>,
+}
+
+/// Where a node that meets its peers is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reached {
+    /// Where others reach it.
+    pub advertise: SocketAddr,
+    /// Where its datagrams come from.
+    pub source: SocketAddr,
 }
 
 /// Runs an experiment in an arm, and judges. `told`: is given the time of the run now and then.
@@ -113,6 +135,7 @@
         nodes::place(&lab).map_err(machine("links for the nodes"))?;
         if arm.peers {
             nodes::meet(&lab).await.map_err(machine("links between the nodes"))?;
+            nodes::tell_company(&lab);
         }
         // All of them, whatever comes: dropped, they kill their processes.
         let ran = rehearse(&lab, !arm.no_faults, stop, told).await;
--- a/lab/src/real/nodes.rs
+++ b/lab/src/real/nodes.rs
@@ -4,6 +4,7 @@
 use super::lab::{Lab, Meets, Node};
 use super::link::{mesh, own_address, Door, Far, Link, Reserved, ReservedDatagrams, WayOf};
 use super::process::{Process, ProcessError, Used};
+use super::Reached;
 use crate::draw::{self, Stream};
 use crate::model::links::Way;
 use serde_json::{json, Value};
@@ -69,6 +70,16 @@
     Ok(())
 }
 
+/// Tells those who hold further peers where the nodes are.
+pub fn tell_company(lab: &Lab) {
+    let Some(company) = &lab.options.company else { return };
+    let state = lab.state.borrow();
+    let meets = state.nodes.iter().filter_map(|node| node.meets.as_ref());
+    let reached = meets.map(|meets| Reached { advertise: meets.advertise, source: meets.address.address() });
+    // Whoever asked may have gone; the nodes' run is not theirs alone.
+    let _ = company.nodes.try_send(reached.collect());
+}
+
 fn link(lab: &Lab, node: usize, which: u64) -> Link {
     Link::new(draw::unit(lab.plan.seed, Stream::Network, (node as u64) << 8 | which | 1 << 50).to_bits())
 }
@@ -129,11 +140,13 @@
         "settings": settings(lab, held),
     });
     if let Some(meets) = &held.meets {
+        let company = lab.options.company.iter().flat_map(|company| &company.seeds);
         let seeds = state
             .nodes
             .iter()
             .take(SEEDS)
-            .filter_map(|node| Some(node.meets.as_ref()?.advertise.to_string()));
+            .filter_map(|node| Some(node.meets.as_ref()?.advertise.to_string()))
+            .chain(company.map(ToString::to_string));
         config["walkpick"] = json!({"peers": {
             "listen": meets.address.address().to_string(), "advertise": meets.advertise.to_string(),
             "seeds": seeds.collect::<Vec<_>>(), "cluster": "lab",
--- a/lab/src/real/process.rs
+++ b/lab/src/real/process.rs
@@ -82,6 +82,23 @@
     std::process::Command::new(program).args(arguments).exec()
 }
 
+/// Starts a program under the lab's hold, with pipes for its standard input and output. Dropped, it is killed.
+pub fn start_held(lab: &Path, program: &Path, arguments: &[&str]) -> Result<Child, ProcessError> {
+    let mut command = held(lab, program);
+    command.args(arguments).stdin(Stdio::piped()).stdout(Stdio::piped());
+    let alone = STARTS.lock();
+    let child = command.spawn();
+    drop(alone);
+    child.map_err(|error| ProcessError::Start { program: program.to_owned(), error })
+}
+
+/// The command that becomes a program which ends with this process.
+fn held(lab: &Path, program: &Path) -> Command {
+    let mut command = Command::new(lab);
+    command.arg("hold").arg(std::process::id().to_string()).arg(program).kill_on_drop(true);
+    command
+}
+
 impl Process {
     /// Starts a node with a configuration; its log goes to a file, after what an earlier life wrote there. `let_go`: lets
     /// go of what only the node may hold.
@@ -94,12 +111,12 @@
     ) -> Result<Self, ProcessError> {
         let failed = |error| ProcessError::Start { program: program.to_owned(), error };
         let file = File::options().create(true).append(true).open(log).map_err(failed)?;
-        let mut command = Command::new(lab);
-        command.arg("hold").arg(std::process::id().to_string()).arg(program).arg("node");
+        let mut command = held(lab, program);
+        command.arg("node");
         for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
             command.env_remove(name);
         }
-        command.env("LB_CONFIG", config).kill_on_drop(true).stdin(Stdio::null());
+        command.env("LB_CONFIG", config).stdin(Stdio::null());
         command.stdout(file.try_clone().map_err(failed)?).stderr(file);
         // A child of another run's, forked and not yet its own program, holds all that this process holds: none may be
         // on its way when something is let go. Nothing panics under the lock.
--- /dev/null
+++ b/lab/tests/hollow.rs
@@ -0,0 +1,181 @@
+//! Hollow nodes as processes on real sockets. Nothing here judges how fast a machine is: a late run is void, and says so.
+
+use serde_json::Value;
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+const LAB: &str = env!("CARGO_BIN_EXE_walkpick-lab");
+const PATIENCE: Duration = Duration::from_secs(120);
+
+/// A folder that goes with its test.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("walkpick-hollow-test-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Self(path)
+    }
+
+    fn path(&self, name: &str) -> String {
+        self.0.join(name).display().to_string()
+    }
+
+    fn json(&self, name: &str) -> Value {
+        serde_json::from_str(&std::fs::read_to_string(self.0.join(name)).unwrap()).unwrap()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn hollow(arguments: &[&str]) -> Command {
+    let mut command = Command::new(LAB);
+    command.arg("hollow").args(arguments);
+    command
+}
+
+fn text(output: &Output) -> String {
+    format!("{}{}", String::from_utf8_lossy(&output.stdout), String::from_utf8_lossy(&output.stderr))
+}
+
+fn wait_for<T>(what: &str, mut found: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(found) = found() {
+            return found;
+        }
+        assert!(start.elapsed() < PATIENCE, "no {what} within {PATIENCE:?}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Processes that a process has started.
+fn children(parent: &Child) -> Vec<u32> {
+    let path = format!("/proc/{0}/task", parent.id());
+    let tasks = std::fs::read_dir(path).into_iter().flatten().flatten();
+    let lists = tasks.filter_map(|task| std::fs::read_to_string(task.path().join("children")).ok());
+    lists
+        .flat_map(|list| list.split_whitespace().filter_map(|pid| pid.parse().ok()).collect::<Vec<_>>())
+        .collect()
+}
+
+/// Whether a process runs; one that has ended and was not waited for is gone all the same.
+fn runs(pid: u32) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let state = status.lines().find_map(|line| line.strip_prefix("State:")).map(str::trim);
+    state.is_some_and(|state| !state.starts_with('Z'))
+}
+
+/// Whether a process holds sockets of hollow nodes.
+fn has_opened(pid: u32) -> bool {
+    let files = std::fs::read_dir(format!("/proc/{pid}/fd")).into_iter().flatten().flatten();
+    let links = files.filter_map(|file| std::fs::read_link(file.path()).ok());
+    links.filter(|link| link.to_string_lossy().starts_with("socket:")).count() >= 10
+}
+
+/// A lab whose two processes hold ten nodes each, for a long run.
+fn long_run(folder: &Folder) -> (Child, Vec<u32>) {
+    let json = folder.path("out.json");
+    let arguments =
+        ["--nodes", "20", "--processes", "2", "--seconds", "1000", "--lateness", "1h", "--json", &json];
+    let child = hollow(&arguments).stdout(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
+    let processes = wait_for("two processes with sockets", || {
+        let processes = children(&child);
+        (processes.len() == 2 && processes.iter().all(|pid| has_opened(*pid))).then_some(processes)
+    });
+    (child, processes)
+}
+
+#[test]
+fn twenty_nodes_in_two_processes_meet_and_write_what_they_measured() {
+    let folder = Folder::new("meet");
+    let (json, series) = (folder.path("out.json"), folder.path("series.json"));
+    let output = hollow(&["--nodes", "20", "--processes", "2", "--loss", "0.05", "--meet", "100"])
+        .args(["--until-met", "--lateness", "1h", "--json", &json, "--series", &series])
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output));
+    let run = &folder.json("out.json")["runs"][0];
+    assert!(run["figures"]["met_s"].as_f64().is_some_and(|met| met > 0.0), "{run}");
+    assert!(run["figures"]["memory_bytes"].as_f64().is_some_and(|bytes| bytes > 0.0), "{run}");
+    assert!(run["figures"]["lost_part"].as_f64().is_some_and(|part| part > 0.0), "{run}");
+    assert_eq!(run["void"], Value::Null);
+    let series = folder.json("series.json");
+    let names: Vec<_> = series.as_array().unwrap().iter().map(|one| one["name"].as_str().unwrap()).collect();
+    assert!(names.contains(&"hollow.memory_bytes.loss-5-percent"), "{names:?}");
+    let point = &series[0]["points"][0];
+    assert_eq!((point["size"].as_u64(), point["seed"].as_u64()), (Some(20), Some(1)));
+}
+
+// Guards against figures of a lab that was late itself: no machine is on time to the microsecond.
+#[test]
+fn a_lab_that_is_late_makes_its_run_void_and_says_so() {
+    let folder = Folder::new("late");
+    let series = folder.path("series.json");
+    let output = hollow(&["--nodes", "4", "--processes", "2", "--meet", "100", "--until-met"])
+        .args(["--lateness", "1us", "--series", &series])
+        .output()
+        .unwrap();
+    let said = text(&output);
+    assert_eq!(output.status.code(), Some(1), "{said}");
+    assert!(said.contains("void: the lab was late"), "{said}");
+    assert_eq!(folder.json("series.json"), serde_json::json!([]));
+}
+
+#[test]
+fn a_lab_that_is_killed_outright_leaves_no_process_behind() {
+    let folder = Folder::new("killed");
+    let (mut child, processes) = long_run(&folder);
+    child.kill().unwrap();
+    child.wait().unwrap();
+    wait_for("end of the processes", || processes.iter().all(|pid| !runs(*pid)).then_some(()));
+}
+
+#[test]
+fn an_interrupted_lab_ends_its_processes_and_judges_nothing() {
+    let folder = Folder::new("interrupted");
+    for signal in ["-INT", "-TERM"] {
+        let (mut child, processes) = long_run(&folder);
+        assert!(Command::new("kill").args([signal, &child.id().to_string()]).status().unwrap().success());
+        assert_eq!(child.wait().unwrap().code(), Some(1));
+        wait_for("end of the processes", || processes.iter().all(|pid| !runs(*pid)).then_some(()));
+        let run = &folder.json("out.json")["runs"][0];
+        assert_eq!(run["interrupted"], true);
+        assert_eq!(run["figures"], serde_json::json!({}));
+    }
+}
+
+#[test]
+fn a_process_that_dies_ends_the_run_and_is_told() {
+    let folder = Folder::new("dies");
+    let (child, processes) = long_run(&folder);
+    assert!(Command::new("kill").args(["-KILL", &processes[1].to_string()]).status().unwrap().success());
+    let output = child.wait_with_output().unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    assert!(text(&output).contains("ended before it had told everything: signal: 9"), "{}", text(&output));
+    wait_for("end of the other one", || (!runs(processes[0])).then_some(()));
+}
+
+#[test]
+fn bad_arguments_are_told_all_at_once_and_end_with_2() {
+    let output =
+        hollow(&["--nodes", "1", "--processes", "40", "--complete", "1000", "--loss", "2"]).output().unwrap();
+    let said = text(&output);
+    assert_eq!(output.status.code(), Some(2), "{said}");
+    for place in ["hollow.nodes: found 1", "hollow.processes: found 40", "hollow.complete", "hollow.loss"] {
+        assert!(said.contains(place), "{place}: {said}");
+    }
+}
+
+#[test]
+fn a_run_that_this_machine_cannot_hold_is_refused_before_anything_starts() {
+    let output = hollow(&["--nodes", "4000", "--seconds", "1000"]).output().unwrap();
+    let said = text(&output);
+    assert_eq!(output.status.code(), Some(1), "{said}");
+    assert!(said.contains("expected at most"), "{said}");
+}
