--- a/lab/src/commands/mod.rs
+++ b/lab/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands of the lab's program, each in a module of its own.
 
 pub mod capacity;
+pub mod hollow;
 pub mod membership;
 pub mod slopes;
 
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod commands;
 pub mod draw;
 pub mod experiment;
+pub mod hollow;
 pub mod judge;
 pub mod model;
 pub mod plan;
