--- /dev/null
+++ b/lab/src/commands/measure.rs
@@ -0,0 +1,106 @@
+//! `walkpick-lab measure WHAT`: what grows with the fleet, as series for the capacity page.
+
+use clap::{Args, Subcommand, ValueEnum};
+use std::error::Error;
+use std::io::{self, Write};
+use std::path::PathBuf;
+use walkpick_lab::measure::series::Series;
+use walkpick_lab::measure::{decisions, memory_child, MeasureError, Programs};
+
+/// What can be measured.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum What {
+    /// Time and memory of the decisions, in process
+    Decisions,
+}
+
+/// Arguments of `measure`.
+#[derive(Debug, Args)]
+pub struct MeasureArgs {
+    /// What to measure
+    what: What,
+    /// Write the series here, as JSON
+    #[arg(long)]
+    series: Option<PathBuf>,
+    /// Small sizes and few plays, to see that it works; its figures stand for nothing
+    #[arg(long)]
+    quick: bool,
+    /// The node's program; the one beside this program where it is not given
+    #[arg(long)]
+    node: Option<PathBuf>,
+}
+
+/// Children that `measure` starts.
+#[derive(Debug, Subcommand)]
+pub enum Child {
+    /// Hold balancers, and say how many bytes each takes
+    Memory {
+        /// Servers that each knows
+        #[arg(long)]
+        servers: usize,
+        /// Balancers
+        #[arg(long)]
+        held: usize,
+        /// Requests that each meets
+        #[arg(long)]
+        requests: u64,
+        /// The first one's seed
+        #[arg(long)]
+        seed: u64,
+    },
+}
+
+/// Measures, prints a table, and writes the series where it is told to.
+pub fn run(args: &MeasureArgs) -> Result<bool, Box<dyn Error>> {
+    let mut all = measure(args)?;
+    let command = command(args);
+    all.iter_mut().for_each(|series| series.command.clone_from(&command));
+    if let Some(path) = &args.series {
+        std::fs::write(path, serde_json::to_vec_pretty(&all)?)?;
+    }
+    table(&all)?;
+    Ok(true)
+}
+
+fn measure(args: &MeasureArgs) -> Result<Vec<Series>, MeasureError> {
+    let programs = Programs::beside(args.node.clone());
+    match args.what {
+        What::Decisions => {
+            let effort = match args.quick {
+                true => decisions::Effort { requests: 100, held_requests: 50, held: 20, seeds: 1 },
+                false => decisions::Effort::default(),
+            };
+            decisions::measure(&effort, &programs)
+        }
+    }
+}
+
+/// The command that makes the same series, without the place where they were written.
+fn command(args: &MeasureArgs) -> String {
+    let what = args.what.to_possible_value();
+    let what = what.as_ref().map_or("", |what| what.get_name());
+    let quick = if args.quick { " --quick" } else { "" };
+    format!("walkpick-lab measure {what}{quick}")
+}
+
+fn table(all: &[Series]) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    for series in all {
+        writeln!(out, "{} ({}, against {})", series.name, series.unit, series.against)?;
+        for size in series.sizes() {
+            let plays = series.points.iter().filter(|point| point.size == size).count();
+            writeln!(out, "  {size:>10}  {:>16.6}  {plays} plays", series.mean(size))?;
+        }
+    }
+    Ok(())
+}
+
+/// What a child of `measure` does.
+pub fn child(child: &Child) -> Result<bool, Box<dyn Error>> {
+    match *child {
+        Child::Memory { servers, held, requests, seed } => {
+            println!("{}", memory_child::answer(&memory_child::Asked { servers, held, requests, seed }));
+            Ok(true)
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/commands/mod.rs
@@ -0,0 +1,3 @@
+//! Commands of the lab's program that have a module of their own.
+
+pub mod measure;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod draw;
 pub mod experiment;
 pub mod judge;
+pub mod measure;
 pub mod membership;
 pub mod model;
 pub mod plan;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,5 +1,7 @@
 //! walkpick-lab: rehearses failures on an emulated deployment, and judges what comes of them.
 
+mod commands;
+
 use clap::{Args, Parser, Subcommand};
 use indicatif::{MultiProgress, ProgressBar, ProgressStyle};
 use serde::{Deserialize, Serialize};
@@ -37,6 +39,11 @@
     Calibrate(CalibrateArgs),
     /// Run cases of membership among any number of peers in simulated time
     Membership(MembershipArgs),
+    /// Measure what grows with the fleet, as series for the capacity page
+    Measure(commands::measure::MeasureArgs),
+    /// Be a child of `measure`
+    #[command(hide = true, subcommand)]
+    MeasureChild(commands::measure::Child),
     /// Run again what a JSON of results came from, and tell whether the same comes out
     Replay {
         /// What `run --json` wrote
@@ -209,6 +216,8 @@
         Command::Compare(args) => compare(&args),
         Command::Calibrate(args) => calibrate(&args),
         Command::Membership(args) => membership(&args).map(|()| true),
+        Command::Measure(args) => commands::measure::run(&args),
+        Command::MeasureChild(child) => commands::measure::child(&child),
         Command::Replay { file, how } => replay(&file, &how),
         Command::Init { file } => init(&file).map(|()| true),
         Command::List { folder } => list(&folder).map(|()| true),
--- /dev/null
+++ b/lab/src/measure/tests.rs
@@ -0,0 +1,3 @@
+//! What does not depend on time: series are complete, with at least four sizes and values above zero.
+
+mod decisions;
