--- a/lab/src/commands/measure.rs
+++ b/lab/src/commands/measure.rs
@@ -5,13 +5,15 @@
 use std::io::{self, Write};
 use std::path::PathBuf;
 use walkpick_lab::measure::series::Series;
-use walkpick_lab::measure::{decisions, memory_child, MeasureError, Programs};
+use walkpick_lab::measure::{decisions, memory_child, trials, MeasureError, Programs};
 
 /// What can be measured.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 pub enum What {
     /// Time and memory of the decisions, in process
     Decisions,
+    /// What all nodes ask of one server in trouble, in simulated time
+    Trials,
 }
 
 /// Arguments of `measure`.
@@ -72,6 +74,16 @@
             };
             decisions::measure(&effort, &programs)
         }
+        What::Trials => {
+            let quick = || trials::Effort {
+                nodes: vec![10, 20, 40, 80],
+                played: 10,
+                seeds: 1,
+                part: 0.05,
+                ..trials::Effort::default()
+            };
+            Ok(trials::measure(&if args.quick { quick() } else { trials::Effort::default() }))
+        }
     }
 }
 
--- a/lab/src/measure/mod.rs
+++ b/lab/src/measure/mod.rs
@@ -4,6 +4,7 @@
 pub mod decisions;
 pub mod memory_child;
 pub mod series;
+pub mod trials;
 
 use crate::real::process::ProcessError;
 use std::io;
--- a/lab/tests/measure.rs
+++ b/lab/tests/measure.rs
@@ -64,3 +64,20 @@
     assert_complete(&all, "in-process", "decisions", &expected);
     all.iter().for_each(assert_positive);
 }
+
+#[test]
+fn trials_are_measured_against_nodes() {
+    let all = measure("trials");
+    let states = ["down", "cold", "returning"];
+    let rates = states.iter().flat_map(|state| {
+        ["requests", "connections"].map(|what| format!("trials.{what}_per_second.{state}"))
+    });
+    let times = ["hot", "cold"].map(|node| format!("trials.seconds_to_shut.{node}"));
+    let expected: Vec<_> = rates.chain(times).collect();
+    let expected: Vec<_> = expected.iter().map(String::as_str).collect();
+    assert_complete(&all, "simulated", "trials", &expected);
+    assert_positive(named(&all, "trials.requests_per_second.calm"));
+    assert_positive(named(&all, "trials.seconds_to_shut.hot"));
+    // Simulated time: the same seeds give the same series.
+    assert_eq!(all, measure("trials"));
+}
