--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod experiment;
 pub mod hollow;
 pub mod judge;
+pub mod measure;
 pub mod model;
 pub mod plan;
 pub mod policies;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use walkpick_lab::capacity::{PageError, PlanError};
 use walkpick_lab::cluster::cases::NotApplicable;
-use walkpick_lab::commands::{capacity, hollow, membership, slopes, UnknownName};
+use walkpick_lab::commands::{capacity, hollow, measure, membership, slopes, UnknownName};
 use walkpick_lab::experiment::{self, Arm, Driver, Experiment, ExperimentError, Policy, What};
 use walkpick_lab::judge::{self, Result as Run};
 use walkpick_lab::real::{self, process, Options, RealError};
@@ -49,6 +49,11 @@
     /// Become a process of hollow nodes, which the lab talks to
     #[command(hide = true)]
     HollowProcess,
+    /// Measure what grows with the fleet, as series for the capacity page
+    Measure(measure::MeasureArgs),
+    /// Be a child of `measure`
+    #[command(hide = true, subcommand)]
+    MeasureChild(measure::Child),
     /// Run again what a JSON of results came from, and tell whether the same comes out
     Replay {
         /// What `run --json` wrote
@@ -203,6 +208,8 @@
         Command::Slopes(args) => slopes::run(&args),
         Command::Hollow(args) => hollow::run(&args),
         Command::HollowProcess => hollow::run_process(),
+        Command::Measure(args) => measure::run(&args),
+        Command::MeasureChild(child) => measure::child(&child),
         Command::Replay { file, how } => replay(&file, &how),
         Command::Init { file } => init(&file).map(|()| true),
         Command::List { folder } => list(&folder).map(|()| true),
