The stand-in's discovery answers a watch when the wait that it asked for is over

It answered after 5 s whatever the watch said; the node's watch waits 1.5 s and is given up 1 s later, so the node warned "a call failed error=no answer in time" about every 4 s for as long as the example ran. It honours wait_ms now (60 s at most, as in the protocol), and takes the level of the node's log as a second argument. The example's test reads the log until three watches were answered and allows no warning up to then. With the 5 s put back it fails at the first watch.

--- a/examples/standin.rs
+++ b/examples/standin.rs
@@ -1,6 +1,7 @@
 //! A node to try: two tiny cache servers and a discovery in this process, and one real node in front of them.
 //!
-//! `cargo build && cargo run --example standin [ADDRESS]`, then send it the request that it prints. Ctrl-C ends it.
+//! `cargo build && cargo run --example standin [ADDRESS [LEVEL]]`, then send it the request that it prints. Ctrl-C ends
+//! it. LEVEL is that of the node's log: at `debug` it shows each answer of discovery.
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -25,13 +26,17 @@
 
 type Reply = Response<Full<Bytes>>;
 
+/// No watch waits longer: the protocol's bound.
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> Result<(), Box<dyn Error>> {
     let listen = std::env::args().nth(1).unwrap_or_else(|| "127.0.0.1:7070".to_owned());
-    LocalSet::new().run_until(run(&listen)).await
+    let level = std::env::args().nth(2).unwrap_or_else(|| "info".to_owned());
+    LocalSet::new().run_until(run(&listen, &level)).await
 }
 
-async fn run(listen: &str) -> Result<(), Box<dyn Error>> {
+async fn run(listen: &str, level: &str) -> Result<(), Box<dyn Error>> {
     let mut hosts = Vec::new();
     for name in ["s-1", "s-2"] {
         let kept = Rc::new(RefCell::new(HashSet::new()));
@@ -45,7 +50,7 @@
     let folder = std::env::temp_dir().join(format!("walkpick-standin-{}", std::process::id()));
     std::fs::create_dir_all(&folder)?;
     let file = folder.join("config.json");
-    std::fs::write(&file, config(listen, discovery).to_string())?;
+    std::fs::write(&file, config(listen, level, discovery).to_string())?;
     let node = std::env::current_exe()?.with_file_name("../walkpick");
     if !node.exists() {
         return Err(format!("{} is missing: run 'cargo build' first", node.display()).into());
@@ -101,20 +106,29 @@
     reply
 }
 
-/// Has one list, and nothing new to tell.
+/// Has one list, and nothing new to tell: a watch is answered when the wait that it asked for is over.
 async fn discovery(list: Value, request: Request<Incoming>) -> Reply {
-    let watch = request.uri().query().is_some_and(|query| query.contains("after="));
-    if watch {
-        tokio::time::sleep(Duration::from_secs(5)).await;
-    }
+    let Some(wait) = watch_wait(request.uri().query().unwrap_or_default()) else {
+        return Response::new(Full::from(list.to_string()));
+    };
+    tokio::time::sleep(wait).await;
     let nothing = json!({"seq": 1, "whole": false, "hosts": []});
-    Response::new(Full::from(if watch { nothing } else { list }.to_string()))
+    Response::new(Full::from(nothing.to_string()))
+}
+
+/// How long a watch asks discovery to wait; `None` where the call is no watch.
+fn watch_wait(query: &str) -> Option<Duration> {
+    let value = |name: &str| query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+    value("after")?;
+    let wait = value("wait_ms").and_then(|wait| wait.parse().ok()).unwrap_or(0);
+    Some(Duration::from_millis(wait).min(LONGEST_WAIT))
 }
 
-fn config(listen: &str, discovery: SocketAddr) -> Value {
+fn config(listen: &str, level: &str, discovery: SocketAddr) -> Value {
     json!({
         "name": "n1", "listen": listen, "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+        "walkpick": {"log": {"level": level}},
         "settings": {
             "az": "a", "zones": ["a"], "balancers": 1,
             "lanes": [
--- a/tests/example.rs
+++ b/tests/example.rs
@@ -5,7 +5,7 @@
 use node_common::{read, wait_for, Client, PATIENCE};
 use std::io::{BufRead, BufReader};
 use std::net::TcpStream;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStderr, Command, Stdio};
 
 /// Ended by a signal that lets it end its node.
 struct Standin(Child);
@@ -18,16 +18,29 @@
     }
 }
 
-#[test]
-fn the_example_node_serves_what_is_sent_to_it() {
+type Log = BufReader<ChildStderr>;
+
+/// Starts the example, its node's log at this level.
+fn start(level: &str) -> (Standin, Log) {
     let program = std::env::current_exe().unwrap().with_file_name("../examples/standin");
-    let mut child = Command::new(program).arg("127.0.0.1:0").stderr(Stdio::piped()).spawn().unwrap();
-    let mut log = BufReader::new(child.stderr.take().unwrap());
-    let _standin = Standin(child);
+    let mut child =
+        Command::new(program).args(["127.0.0.1:0", level]).stderr(Stdio::piped()).spawn().unwrap();
+    let log = BufReader::new(child.stderr.take().unwrap());
+    (Standin(child), log)
+}
+
+fn next_line(log: &mut Log) -> String {
     let mut line = String::new();
+    assert_ne!(log.read_line(&mut line).unwrap(), 0, "it ended");
+    line
+}
+
+#[test]
+fn the_example_node_serves_what_is_sent_to_it() {
+    let (_standin, mut log) = start("info");
+    let mut line = next_line(&mut log);
     while !line.contains(" listens on ") {
-        line.clear();
-        assert_ne!(log.read_line(&mut line).unwrap(), 0, "it ended before it listened");
+        line = next_line(&mut log);
     }
     let address = line.trim_end().rsplit(' ').next().unwrap().to_owned();
     let stream = TcpStream::connect(address).unwrap();
@@ -42,3 +55,17 @@
         .unwrap()
         .starts_with("the value of /api/0000000000000007, from s-"));
 }
+
+// The stand-in's discovery once answered after its own time, not after the one that the node's watch asked for.
+#[test]
+fn the_example_node_is_answered_by_its_discovery_without_a_warning() {
+    const WATCHES: usize = 3;
+    let (_standin, mut log) = start("debug");
+    let mut answered = 0;
+    while answered < WATCHES {
+        let line = next_line(&mut log);
+        assert!(!line.contains(" WARN ") && !line.contains(" ERROR "), "{line}");
+        // A call that does not wait brings the whole list.
+        answered += usize::from(line.contains("list taken in") && line.contains("whole=false"));
+    }
+}
