--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -13,12 +13,14 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use walkpick_lab::capacity::{PageError, PlanError};
 use walkpick_lab::cluster::cases::NotApplicable;
-use walkpick_lab::commands::{membership, scale, UnknownName};
+use walkpick_lab::commands::{capacity, hollow, measure, membership, scale, slopes, UnknownName};
 use walkpick_lab::experiment::{self, Arm, Driver, Experiment, ExperimentError, Policy, What};
 use walkpick_lab::judge::{self, Result as Run};
 use walkpick_lab::real::{self, process, Options, RealError};
 use walkpick_lab::scale::{RunOptions, ScaleExperiment};
+use walkpick_lab::slopes::SlopesError;
 use walkpick_lab::world::World;
 use walkpick_lab::{model, report};
 
@@ -39,6 +41,20 @@
     Calibrate(CalibrateArgs),
     /// Run cases of membership among any number of peers in simulated time
     Membership(membership::MembershipArgs),
+    /// Work out from a plan and the slopes what each role needs, and keep the page true
+    Capacity(capacity::CapacityArgs),
+    /// Take measured series into the slopes file, or show it
+    Slopes(slopes::SlopesArgs),
+    /// Run the control part of many nodes in few processes, on real sockets in real time
+    Hollow(hollow::HollowArgs),
+    /// Become a process of hollow nodes, which the lab talks to
+    #[command(hide = true)]
+    HollowProcess,
+    /// Measure what grows with the fleet, as series for the capacity page
+    Measure(measure::MeasureArgs),
+    /// Be a child of `measure`
+    #[command(hide = true, subcommand)]
+    MeasureChild(measure::Child),
     /// Run again what a JSON of results came from, and tell whether the same comes out
     Replay {
         /// What `run --json` wrote
@@ -189,6 +205,12 @@
         Command::Compare(args) => compare(&args),
         Command::Calibrate(args) => calibrate(&args),
         Command::Membership(args) => membership::run(&args),
+        Command::Capacity(args) => capacity::run(&args),
+        Command::Slopes(args) => slopes::run(&args),
+        Command::Hollow(args) => hollow::run(&args),
+        Command::HollowProcess => hollow::run_process(),
+        Command::Measure(args) => measure::run(&args),
+        Command::MeasureChild(child) => measure::child(&child),
         Command::Replay { file, how } => replay(&file, &how),
         Command::Init { file } => init(&file).map(|()| true),
         Command::List { folder } => list(&folder).map(|()| true),
@@ -203,16 +225,26 @@
             for line in error.to_string().lines() {
                 eprintln!("walkpick-lab: {line}");
             }
-            match error.downcast_ref::<ExperimentError>() {
-                Some(_) => ExitCode::from(BAD_INPUT),
-                None if error.downcast_ref::<UnknownName>().is_some() => ExitCode::from(BAD_INPUT),
-                None if error.downcast_ref::<NotApplicable>().is_some() => ExitCode::from(BAD_INPUT),
-                None => ExitCode::FAILURE,
+            if bad_input(error.as_ref()) {
+                ExitCode::from(BAD_INPUT)
+            } else {
+                ExitCode::FAILURE
             }
         }
     }
 }
 
+/// Whether what was given is at fault.
+fn bad_input(error: &(dyn Error + 'static)) -> bool {
+    error.is::<ExperimentError>()
+        || error.is::<UnknownName>()
+        || error.is::<NotApplicable>()
+        || error.is::<SlopesError>()
+        || error.is::<slopes::SeriesFaults>()
+        || error.is::<PlanError>()
+        || error.is::<PageError>()
+}
+
 type Done = Result<bool, Box<dyn Error>>;
 
 /// A run that is asked for.
@@ -294,7 +326,7 @@
             let folder = folder.join(format!("walkpick-lab-{}-{name}-{seed}", std::process::id()));
             let lab = std::env::current_exe().unwrap_or_else(|_| "walkpick-lab".into());
             let program = how.node.clone().unwrap_or_else(|| lab.with_file_name("walkpick"));
-            let options = Options { program, lab, folder, lateness: how.lateness };
+            let options = Options { program, lab, folder, lateness: how.lateness, company: None };
             let run = real::run(experiment, name, arm, seed, &options, stop, &told);
             if how.logs.is_none() && run.is_ok() {
                 // What is left behind is a folder of the system's for such things.
