--- a/lab/src/cluster/cases/outcome.rs
+++ b/lab/src/cluster/cases/outcome.rs
@@ -39,6 +39,8 @@
     /// From the beginning of the trouble on; means until all views were the same again, peaks for 5 s more.
     #[serde(flatten)]
     pub traffic: TrafficRates,
+    /// From the end of a partition on, as above.
+    pub returning: Option<TrafficRates>,
     /// Processor time inside of peers, in microseconds for each node and second, from the beginning of the trouble on.
     pub processor_us_per_node_s: f64,
     /// The same until then.
@@ -62,7 +64,7 @@
 }
 
 /// All figures that may be checked.
-pub const FIGURES: [Figure; 20] = [
+pub const FIGURES: [Figure; 21] = [
     Figure { name: "joined_s", meaning: "from the start until all views are the same", of: |o| o.joined_s },
     Figure {
         name: "known_p50_s",
@@ -146,6 +148,11 @@
         meaning: "the largest 5 s mean of bytes sent while all join, in the mean over nodes",
         of: |o| Some(o.joining.peak_mean_bytes_per_s),
     },
+    Figure {
+        name: "returning_peak_bytes_per_s",
+        meaning: "the largest 5 s mean of bytes sent by any node after the end of a partition",
+        of: |o| o.returning.map(|rates| rates.peak_bytes_per_s),
+    },
     Figure {
         name: "processor_us_per_node_s",
         meaning: "microseconds of processor time of a node's peers in a second, on this machine",
--- a/lab/src/cluster/cases/play.rs
+++ b/lab/src/cluster/cases/play.rs
@@ -3,8 +3,9 @@
 use super::known::{disagreement_known, ExpectedReports};
 use super::{Case, CaseOutcome};
 use crate::cluster::{LinkConditions, SimulatedCluster, StandingChange, Topology, TrafficRates};
-use crate::model::{Micros, SECOND};
+use crate::model::{micros, Micros, SECOND};
 use serde::Serialize;
+use std::time::Duration;
 use thiserror::Error;
 use walkpick::peers::{PeersConfig, Standing};
 
@@ -47,6 +48,10 @@
     pub settle: Micros,
     /// How long nothing happens in the case of rest, in microseconds.
     pub rest: Micros,
+    /// How often each peer probes another one, in microseconds.
+    pub probe_every: Micros,
+    /// An answer that takes longer is asked for by way of others, in microseconds.
+    pub probe_timeout: Micros,
 }
 
 /// The case makes no sense with so few nodes.
@@ -61,7 +66,37 @@
     pub expected: usize,
 }
 
+/// All have so long to settle, and nothing happens for so long, where nothing else is asked for.
+const SETTLE: Micros = 2 * SECOND;
+/// See [`SETTLE`].
+const REST: Micros = 30 * SECOND;
+
 impl Play {
+    /// A case on a flat network that loses nothing, with the program's own times.
+    pub fn new(case: Case, nodes: usize, seed: u64) -> Self {
+        let config = PeersConfig::default();
+        Self {
+            case,
+            nodes,
+            loss: 0.0,
+            topology: Topology::Flat,
+            seed,
+            settle: SETTLE,
+            rest: REST,
+            probe_every: micros(config.probe_every),
+            probe_timeout: micros(config.probe_timeout),
+        }
+    }
+
+    fn config(&self) -> PeersConfig {
+        PeersConfig {
+            nodes: self.nodes as u32,
+            probe_every: Duration::from_micros(self.probe_every),
+            probe_timeout: Duration::from_micros(self.probe_timeout),
+            ..PeersConfig::default()
+        }
+    }
+
     /// Whether the case makes sense: the trouble meets half of the nodes at the most, or is meant to meet more.
     pub fn check(&self) -> Result<(), NotApplicable> {
         let affected = self.case.affected(self.nodes, self.topology).len();
@@ -95,15 +130,16 @@
     joining_s: f64,
     joining_part_of_peers: f64,
     share_sum: f64,
+    /// While the cluster was cut, and for how long, where it was.
+    while_cut: Option<(TrafficRates, Micros)>,
 }
 
 impl Course {
     /// All start and find each other, and have time to settle.
     fn begin(play: Play) -> Self {
         let Play { case, nodes, topology, .. } = play;
-        let config = PeersConfig { nodes: nodes as u32, ..PeersConfig::default() };
         let mut cluster =
-            SimulatedCluster::new(config, nodes, SEEDS.min(nodes), play.seed).with_topology(topology);
+            SimulatedCluster::new(play.config(), nodes, SEEDS.min(nodes), play.seed).with_topology(topology);
         cluster.links = LinkConditions { loss: play.loss, ..LinkConditions::default() };
         (0..nodes).for_each(|node| cluster.start(node));
         let joined = cluster.run_until(JOIN_LIMIT, SimulatedCluster::converged);
@@ -122,6 +158,7 @@
             joining_s: meter.thread_time().as_secs_f64(),
             joining_part_of_peers: meter.peers_part(),
             share_sum: share_sum(&cluster),
+            while_cut: None,
             cluster,
         };
         course.cluster.begin_measuring();
@@ -140,6 +177,7 @@
         });
         self.share_sum = most;
         let means = self.cluster.traffic.rates(self.cluster.now());
+        let measured_until = self.cluster.now();
         self.cluster.run(TAIL);
         let [known_p50, known_p99, known_all] = self.known();
         let lost = |change: &&StandingChange| change.standing == Standing::Lost && self.is_false(change);
@@ -150,6 +188,12 @@
         let now = self.cluster.now();
         let meter = &self.cluster.processor;
         let peaks = self.cluster.traffic.rates(now);
+        let ending =
+            TrafficRates { bytes_per_s: means.bytes_per_s, datagrams_per_s: means.datagrams_per_s, ..peaks };
+        let traffic = match self.while_cut {
+            Some((rates, length)) => rates.and_then(length, ending, measured_until - ended),
+            None => ending,
+        };
         let processor_s = meter.thread_time().as_secs_f64();
         let in_peers = processor_s * meter.peers_part() + self.joining_s * self.joining_part_of_peers;
         CaseOutcome {
@@ -167,11 +211,8 @@
             rejoined,
             share_sum: self.share_sum,
             joining: self.joining,
-            traffic: TrafficRates {
-                bytes_per_s: means.bytes_per_s,
-                datagrams_per_s: means.datagrams_per_s,
-                ..peaks
-            },
+            traffic,
+            returning: self.while_cut.is_some().then_some(ending),
             processor_us_per_node_s: meter.peers_us_per_node_s(self.play.nodes, now - self.begun),
             joining_processor_us_per_node_s: self.joining_processor,
             processor_s: processor_s + self.joining_s,
@@ -229,6 +270,8 @@
         self.cluster.partition(|node| u32::from(affected[node]));
         self.watch(length);
         let known = disagreement_known(&self.cluster.agreement_changes, self.play.nodes * 9 / 10, self.begun);
+        self.while_cut = Some((self.cluster.traffic.rates(self.cluster.now()), length));
+        self.cluster.traffic.reset(self.cluster.now());
         self.cluster.partition(|_| 0);
         known
     }
--- a/lab/src/cluster/cases/tests.rs
+++ b/lab/src/cluster/cases/tests.rs
@@ -2,7 +2,7 @@
 use crate::model::SECOND;
 
 fn play(case: Case, nodes: usize, topology: Topology) -> Play {
-    Play { case, nodes, loss: 0.0, topology, seed: 1, settle: 2 * SECOND, rest: 6 * SECOND }
+    Play { topology, rest: 6 * SECOND, ..Play::new(case, nodes, 1) }
 }
 
 #[test]
@@ -64,3 +64,22 @@
     assert_eq!(names.len(), FIGURES.len());
     assert!(FIGURES.iter().any(|figure| figure.name == "joined_s" && (figure.of)(&outcome).is_some()));
 }
+
+#[test]
+fn the_return_of_what_was_cut_off_has_rates_of_its_own() {
+    let outcome = run(play(Case::Split, 8, Topology::Flat)).unwrap();
+    let returning = outcome.returning.unwrap();
+    assert!(outcome.traffic.peak_bytes_per_s >= returning.peak_bytes_per_s, "{outcome:?}");
+    assert!(returning.bytes_per_s > 0.0 && outcome.traffic.bytes_per_s > 0.0, "{outcome:?}");
+    assert!(run(play(Case::Kill, 8, Topology::Flat)).unwrap().returning.is_none());
+}
+
+// Guards against times between regions that nobody notices: the same probes suspect far peers that they do not suspect
+// when they wait for longer than the longest way there and back.
+#[test]
+fn far_regions_are_suspected_where_probes_do_not_wait_for_them() {
+    let rest = play(Case::Rest, 43, Topology::Regions);
+    let patient = Play { probe_every: SECOND, probe_timeout: SECOND * 45 / 100, ..rest };
+    assert_eq!(run(patient).unwrap().false_suspicions, 0);
+    assert!(run(Play { probe_timeout: SECOND / 20, ..rest }).unwrap().false_suspicions > 0);
+}
--- a/lab/src/cluster/traffic.rs
+++ b/lab/src/cluster/traffic.rs
@@ -47,6 +47,22 @@
     pub peak_mean_bytes_per_s: f64,
 }
 
+impl TrafficRates {
+    /// Rates over this time of `length` and the one of `next_length` that follows.
+    pub fn and_then(self, length: Micros, next: Self, next_length: Micros) -> Self {
+        let all = (length + next_length).max(1) as f64;
+        let mean = |one: f64, two: f64| (one * length as f64 + two * next_length as f64) / all;
+        Self {
+            bytes_per_s: mean(self.bytes_per_s, next.bytes_per_s),
+            datagrams_per_s: mean(self.datagrams_per_s, next.datagrams_per_s),
+            peak_bytes_per_s: self.peak_bytes_per_s.max(next.peak_bytes_per_s),
+            peak_datagrams_per_s: self.peak_datagrams_per_s.max(next.peak_datagrams_per_s),
+            peak_received_bytes_per_s: self.peak_received_bytes_per_s.max(next.peak_received_bytes_per_s),
+            peak_mean_bytes_per_s: self.peak_mean_bytes_per_s.max(next.peak_mean_bytes_per_s),
+        }
+    }
+}
+
 /// Counts over the window that is open.
 #[derive(Clone, Debug, Default)]
 struct SlidingWindow {
--- a/lab/src/cluster/traffic/tests.rs
+++ b/lab/src/cluster/traffic/tests.rs
@@ -59,3 +59,14 @@
     let rates = meter.rates(6 * SECOND);
     assert_eq!((rates.peak_received_bytes_per_s, rates.peak_bytes_per_s), (100.0, 0.0));
 }
+
+#[test]
+fn times_that_follow_each_other_have_a_weighted_mean_and_the_larger_peak() {
+    let rates = |mean: f64, peak: f64| TrafficRates {
+        bytes_per_s: mean,
+        peak_bytes_per_s: peak,
+        ..TrafficRates::default()
+    };
+    let both = rates(100.0, 900.0).and_then(3 * SECOND, rates(200.0, 300.0), SECOND);
+    assert_eq!((both.bytes_per_s, both.peak_bytes_per_s), (125.0, 900.0));
+}
--- a/lab/src/commands/membership.rs
+++ b/lab/src/commands/membership.rs
@@ -3,7 +3,7 @@
 use super::UnknownName;
 use crate::cluster::cases::{run_all, Case, CaseOutcome, Play, CASES};
 use crate::cluster::Topology;
-use crate::model;
+use crate::model::micros;
 use clap::Args;
 use indicatif::ProgressBar;
 use std::error::Error;
@@ -34,6 +34,12 @@
     /// From the time when all have joined to the beginning of a case
     #[arg(long, default_value = "2s", value_parser = humantime::parse_duration)]
     settle: Duration,
+    /// Each peer probes another one this often; as the program does where it is not given
+    #[arg(long, value_parser = humantime::parse_duration)]
+    probe_every: Option<Duration>,
+    /// An answer to a probe that takes longer is asked for by way of others; as in the program where it is not given
+    #[arg(long, value_parser = humantime::parse_duration)]
+    probe_timeout: Option<Duration>,
     /// Plays at once; as many as there are cores where it is not given
     #[arg(long)]
     jobs: Option<usize>,
@@ -43,9 +49,21 @@
 }
 
 impl MembershipArgs {
+    fn play(&self, case: Case, nodes: usize, loss: f64, seed: u64) -> Play {
+        let play = Play::new(case, nodes, seed);
+        Play {
+            loss,
+            topology: self.topology,
+            settle: micros(self.settle),
+            rest: micros(self.rest),
+            probe_every: self.probe_every.map_or(play.probe_every, micros),
+            probe_timeout: self.probe_timeout.map_or(play.probe_timeout, micros),
+            ..play
+        }
+    }
+
     fn plays(&self) -> Result<Vec<Play>, UnknownName> {
         let cases = if self.case.is_empty() { CASES.to_vec() } else { self.case.clone() };
-        let (settle, rest) = (model::micros(self.settle), model::micros(self.rest));
         let mut plays = Vec::new();
         for &nodes in &self.nodes {
             if !(2..=20_000).contains(&nodes) {
@@ -54,8 +72,7 @@
             }
             for &loss in &self.loss {
                 for &case in &cases {
-                    let play = |seed| Play { case, nodes, loss, topology: self.topology, seed, settle, rest };
-                    plays.extend((1..=self.seeds).map(play));
+                    plays.extend((1..=self.seeds).map(|seed| self.play(case, nodes, loss, seed)));
                 }
             }
         }
@@ -85,7 +102,7 @@
     text: fn(&CaseOutcome) -> String,
 }
 
-const COLUMNS: [Column; 18] = [
+const COLUMNS: [Column; 19] = [
     Column { name: "case", width: 15, text: |o| o.play.case.name() },
     Column { name: "nodes", width: 5, text: |o| o.play.nodes.to_string() },
     Column { name: "loss", width: 5, text: |o| o.play.loss.to_string() },
@@ -98,6 +115,7 @@
     Column { name: "converged", width: 9, text: |o| time(o.converged_s) },
     Column { name: "false", width: 5, text: |o| o.false_reports.to_string() },
     Column { name: "healed", width: 6, text: |o| o.false_reports_after_heal.to_string() },
+    Column { name: "suspected", width: 9, text: |o| o.false_suspicions.to_string() },
     Column { name: "rejoined", width: 8, text: |o| o.rejoined.to_string() },
     Column { name: "shares", width: 6, text: |o| format!("{:.2}", o.share_sum) },
     Column { name: "B/s", width: 7, text: |o| format!("{:.0}", o.traffic.bytes_per_s) },
--- a/lab/src/scale/membership.rs
+++ b/lab/src/scale/membership.rs
@@ -81,7 +81,7 @@
 
     fn play(&self, case: Case, nodes: usize, loss: f64, seed: u64) -> Play {
         let (settle, rest) = (micros(self.settle), micros(self.rest).max(SECOND));
-        Play { case, nodes, loss, topology: self.topology, seed, settle, rest }
+        Play { loss, topology: self.topology, settle, rest, ..Play::new(case, nodes, seed) }
     }
 
     fn plays(&self, options: &RunOptions) -> Vec<Play> {
--- a/lab/tests/membership.rs
+++ b/lab/tests/membership.rs
@@ -2,7 +2,7 @@
 
 use walkpick::peers::{Agreement, Output, Peer, Peers, PeersConfig, Standing};
 use walkpick_lab::cluster::cases::{self, Case, CaseOutcome, Play};
-use walkpick_lab::cluster::{address, LinkConditions, SimulatedCluster, Topology};
+use walkpick_lab::cluster::{address, LinkConditions, SimulatedCluster};
 use walkpick_lab::model::SECOND;
 
 fn config(nodes: usize) -> PeersConfig {
@@ -18,8 +18,7 @@
 }
 
 fn run(case: Case, nodes: usize, loss: f64, seed: u64) -> CaseOutcome {
-    let topology = Topology::Flat;
-    cases::run(Play { case, nodes, loss, topology, seed, settle: 2 * SECOND, rest: SECOND }).unwrap()
+    cases::run(Play { loss, rest: SECOND, ..Play::new(case, nodes, seed) }).unwrap()
 }
 
 fn present(cluster: &SimulatedCluster, node: usize) -> u32 {
