--- a/lab/src/cluster/cases/mod.rs
+++ b/lab/src/cluster/cases/mod.rs
@@ -4,10 +4,12 @@
 mod outcome;
 mod parallel;
 mod play;
+mod series;
 
 pub use outcome::{CaseOutcome, Figure, FIGURES};
 pub use parallel::run_all;
 pub use play::{run, NotApplicable, Play};
+pub use series::series;
 
 use super::topology::{Topology, ZONES};
 use clap::ValueEnum;
--- a/lab/src/cluster/cases/outcome.rs
+++ b/lab/src/cluster/cases/outcome.rs
@@ -39,6 +39,8 @@
     /// From the beginning of the trouble on; means until all views were the same again, peaks for 5 s more.
     #[serde(flatten)]
     pub traffic: TrafficRates,
+    /// While a partition lasts.
+    pub while_cut: Option<TrafficRates>,
     /// From the end of a partition on, as above.
     pub returning: Option<TrafficRates>,
     /// Processor time inside of peers, in microseconds for each node and second, from the beginning of the trouble on.
--- a/lab/src/cluster/cases/play.rs
+++ b/lab/src/cluster/cases/play.rs
@@ -52,6 +52,8 @@
     pub probe_every: Micros,
     /// An answer that takes longer is asked for by way of others, in microseconds.
     pub probe_timeout: Micros,
+    /// Suspects have this many times `probe_every`, and more the more peers there are, to speak up.
+    pub suspicion: f64,
 }
 
 /// The case makes no sense with so few nodes.
@@ -85,6 +87,7 @@
             rest: REST,
             probe_every: micros(config.probe_every),
             probe_timeout: micros(config.probe_timeout),
+            suspicion: config.suspicion,
         }
     }
 
@@ -93,6 +96,7 @@
             nodes: self.nodes as u32,
             probe_every: Duration::from_micros(self.probe_every),
             probe_timeout: Duration::from_micros(self.probe_timeout),
+            suspicion: self.suspicion,
             ..PeersConfig::default()
         }
     }
@@ -212,6 +216,7 @@
             share_sum: self.share_sum,
             joining: self.joining,
             traffic,
+            while_cut: self.while_cut.map(|(rates, _)| rates),
             returning: self.while_cut.is_some().then_some(ending),
             processor_us_per_node_s: meter.peers_us_per_node_s(self.play.nodes, now - self.begun),
             joining_processor_us_per_node_s: self.joining_processor,
--- a/lab/src/cluster/mod.rs
+++ b/lab/src/cluster/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod cases;
 mod links;
+pub mod memory;
 mod processor;
 mod record;
 mod simulated;
--- a/lab/src/commands/membership.rs
+++ b/lab/src/commands/membership.rs
@@ -1,13 +1,16 @@
 //! `walkpick-lab membership`: cases of membership among any number of peers in simulated time.
 
 use super::UnknownName;
-use crate::cluster::cases::{run_all, Case, CaseOutcome, Play, CASES};
+use crate::cluster::cases::{run_all, series, Case, CaseOutcome, Play, CASES};
+use crate::cluster::memory::memory_per_member;
 use crate::cluster::Topology;
 use crate::model::micros;
+use crate::slopes::write_series;
 use clap::Args;
 use indicatif::ProgressBar;
 use std::error::Error;
 use std::io::{self, Write};
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// What to run.
@@ -16,30 +19,37 @@
     /// Which cases; a choice of them where none is given
     #[arg(long, value_delimiter = ',')]
     case: Vec<Case>,
-    /// Numbers of nodes
-    #[arg(long, value_delimiter = ',', default_value = "50")]
+    /// Numbers of nodes; 50 where it is not given
+    #[arg(long, value_delimiter = ',')]
     nodes: Vec<usize>,
-    /// Parts of the datagrams that are lost
-    #[arg(long, value_delimiter = ',', default_value = "0")]
+    /// Parts of the datagrams that are lost; none where it is not given
+    #[arg(long, value_delimiter = ',')]
     loss: Vec<f64>,
     /// The network
     #[arg(long, default_value = "flat")]
     topology: Topology,
-    /// How many seeds
-    #[arg(long, default_value_t = 3)]
-    seeds: u64,
-    /// How long nothing happens in the case of rest
-    #[arg(long, alias = "calm", default_value = "1m", value_parser = humantime::parse_duration)]
-    rest: Duration,
-    /// From the time when all have joined to the beginning of a case
-    #[arg(long, default_value = "2s", value_parser = humantime::parse_duration)]
-    settle: Duration,
+    /// How many seeds; 3 where it is not given
+    #[arg(long)]
+    seeds: Option<u64>,
+    /// How long nothing happens in the case of rest; a minute where it is not given
+    #[arg(long, alias = "calm", value_parser = humantime::parse_duration)]
+    rest: Option<Duration>,
+    /// From the time when all have joined to the beginning of a case; 2 s where it is not given
+    #[arg(long, value_parser = humantime::parse_duration)]
+    settle: Option<Duration>,
     /// Each peer probes another one this often; as the program does where it is not given
     #[arg(long, value_parser = humantime::parse_duration)]
     probe_every: Option<Duration>,
     /// An answer to a probe that takes longer is asked for by way of others; as in the program where it is not given
     #[arg(long, value_parser = humantime::parse_duration)]
     probe_timeout: Option<Duration>,
+    /// Suspects have this many times --probe-every to speak up, and more the more peers there are
+    #[arg(long)]
+    suspicion: Option<f64>,
+    /// Write series for the capacity page into this file; sizes, losses, cases and times are those of the page where they
+    /// are not given
+    #[arg(long)]
+    series: Option<PathBuf>,
     /// Plays at once; as many as there are cores where it is not given
     #[arg(long)]
     jobs: Option<usize>,
@@ -48,34 +58,108 @@
     json: bool,
 }
 
+/// What is played where nothing else is asked for.
+struct Defaults {
+    cases: &'static [Case],
+    nodes: &'static [usize],
+    loss: &'static [f64],
+    seeds: u64,
+    settle: Duration,
+    rest: Duration,
+}
+
+const TABLE_DEFAULTS: Defaults = Defaults {
+    cases: &CASES,
+    nodes: &[50],
+    loss: &[0.0],
+    seeds: 3,
+    settle: Duration::from_secs(2),
+    rest: Duration::from_secs(60),
+};
+
+/// For the capacity page. What joining leaves behind is over when a case begins.
+const SERIES_DEFAULTS: Defaults = Defaults {
+    cases: &[
+        Case::Rest,
+        Case::Kill,
+        Case::Restarts,
+        Case::RestartTenth,
+        Case::RackLost,
+        Case::ZoneLost,
+        Case::ZoneShareLost,
+        Case::KillMost,
+        Case::Split,
+        Case::RegionCut,
+        Case::Release,
+    ],
+    nodes: &[66, 132, 265, 530, 1_060, 2_120],
+    loss: &[0.0, 0.05],
+    seeds: 1,
+    settle: Duration::from_secs(30),
+    rest: Duration::from_secs(30),
+};
+
+/// Memory is measured up to this size; a larger one tells nothing more and takes minutes.
+const LARGEST_FOR_MEMORY: usize = 1_060;
+
+/// One that was given, or the default.
+fn given<T: Clone>(given: &[T], default: &[T]) -> Vec<T> {
+    if given.is_empty() {
+        default.to_vec()
+    } else {
+        given.to_vec()
+    }
+}
+
 impl MembershipArgs {
+    fn defaults(&self) -> &'static Defaults {
+        match self.series {
+            Some(_) => &SERIES_DEFAULTS,
+            None => &TABLE_DEFAULTS,
+        }
+    }
+
+    fn sizes(&self) -> Result<Vec<usize>, UnknownName> {
+        let sizes = given(&self.nodes, self.defaults().nodes);
+        match sizes.iter().find(|nodes| !(2..=20_000).contains(*nodes)) {
+            Some(nodes) => {
+                let expected = "2 to 20000 nodes".to_owned();
+                Err(UnknownName { found: nodes.to_string(), expected })
+            }
+            None => Ok(sizes),
+        }
+    }
+
     fn play(&self, case: Case, nodes: usize, loss: f64, seed: u64) -> Play {
-        let play = Play::new(case, nodes, seed);
+        let (play, defaults) = (Play::new(case, nodes, seed), self.defaults());
         Play {
             loss,
             topology: self.topology,
-            settle: micros(self.settle),
-            rest: micros(self.rest),
+            settle: micros(self.settle.unwrap_or(defaults.settle)),
+            rest: micros(self.rest.unwrap_or(defaults.rest)),
             probe_every: self.probe_every.map_or(play.probe_every, micros),
             probe_timeout: self.probe_timeout.map_or(play.probe_timeout, micros),
+            suspicion: self.suspicion.unwrap_or(play.suspicion),
             ..play
         }
     }
 
-    fn plays(&self) -> Result<Vec<Play>, UnknownName> {
-        let cases = if self.case.is_empty() { CASES.to_vec() } else { self.case.clone() };
+    fn plays(&self) -> Result<Vec<Play>, Box<dyn Error>> {
+        let defaults = self.defaults();
         let mut plays = Vec::new();
-        for &nodes in &self.nodes {
-            if !(2..=20_000).contains(&nodes) {
-                let expected = "2 to 20000 nodes".to_owned();
-                return Err(UnknownName { found: nodes.to_string(), expected });
-            }
-            for &loss in &self.loss {
-                for &case in &cases {
-                    plays.extend((1..=self.seeds).map(|seed| self.play(case, nodes, loss, seed)));
+        for nodes in self.sizes()? {
+            for loss in given(&self.loss, defaults.loss) {
+                for case in given(&self.case, defaults.cases) {
+                    let seeds = 1..=self.seeds.unwrap_or(defaults.seeds);
+                    plays.extend(seeds.map(|seed| self.play(case, nodes, loss, seed)));
                 }
             }
         }
+        if self.case.is_empty() {
+            // A choice of ours leaves out what makes no sense; what was asked for is refused.
+            plays.retain(|play| play.check().is_ok());
+        }
+        plays.iter().try_for_each(Play::check)?;
         Ok(plays)
     }
 }
@@ -83,10 +167,21 @@
 /// Runs the cases and prints their figures.
 pub fn run(args: &MembershipArgs) -> Result<bool, Box<dyn Error>> {
     let plays = args.plays()?;
+    let command = command_line();
+    // First, while nothing else runs in this process.
+    let memory = match &args.series {
+        Some(_) => Some(memory_per_member(&sizes_for_memory(args.sizes()?), 1, &command)?),
+        None => None,
+    };
     let cores = std::thread::available_parallelism().map_or(1, usize::from);
     let bar = ProgressBar::new(plays.len() as u64);
     let outcomes = run_all(&plays, args.jobs.unwrap_or(cores), || bar.inc(1))?;
     bar.finish_and_clear();
+    if let Some(path) = &args.series {
+        let mut all = series(&outcomes, &command);
+        all.extend(memory);
+        write_series(path, &all)?;
+    }
     if args.json {
         writeln!(io::stdout().lock(), "{}", serde_json::to_string_pretty(&outcomes)?)?;
     } else {
@@ -95,6 +190,19 @@
     Ok(true)
 }
 
+fn sizes_for_memory(mut sizes: Vec<usize>) -> Vec<usize> {
+    sizes.sort_unstable();
+    sizes.dedup();
+    sizes.retain(|nodes| *nodes <= LARGEST_FOR_MEMORY);
+    sizes
+}
+
+/// As another person would type it.
+fn command_line() -> String {
+    let arguments = std::env::args().skip(1);
+    std::iter::once("walkpick-lab".to_owned()).chain(arguments).collect::<Vec<_>>().join(" ")
+}
+
 /// One column of the table.
 struct Column {
     name: &'static str,
--- a/lab/tests/cli.rs
+++ b/lab/tests/cli.rs
@@ -111,3 +111,26 @@
         assert!(out(&ran).contains(part), "{}", out(&ran));
     }
 }
+
+#[test]
+fn cases_of_membership_become_series_and_a_table_and_one_that_makes_no_sense_is_refused() {
+    let folder = Folder::new("membership");
+    let path = folder.0.join("series.json").display().to_string();
+    let few = ["--nodes", "4,8", "--settle", "1s", "--rest", "6s", "--loss", "0,0.05"];
+    let arguments = [&["membership", "--series", &path, "--case", "rest,split"], &few[..]].concat();
+    let ran = lab(&arguments);
+    assert_eq!(ran.status.code(), Some(0), "{}", out(&ran));
+    assert_eq!(out(&ran).lines().filter(|line| line.trim_start().starts_with("rest")).count(), 4);
+    let all: Value = serde_json::from_str(&std::fs::read_to_string(&path).unwrap()).unwrap();
+    let of = |name: &str| all.as_array().unwrap().iter().find(|series| series["name"] == name);
+    for name in ["bytes_per_second.rest", "bytes_per_second.rest.loss-5-percent", "memory_per_member"] {
+        let series = of(&format!("membership.{name}")).unwrap_or_else(|| panic!("no {name} in {all:#}"));
+        assert_eq!(series["points"].as_array().map(Vec::len), Some(2), "{name}");
+        assert!(series["command"].as_str().unwrap().starts_with("walkpick-lab membership --series"));
+    }
+    let refused = lab(&["membership", "--case", "region-cut", "--nodes", "66"]);
+    assert_eq!(refused.status.code(), Some(2), "{}", out(&refused));
+    assert!(out(&refused).contains("region-cut: found 66 nodes, expected 132 and more"), "{}", out(&refused));
+    let refused = lab(&["membership", "--nodes", "1"]);
+    assert_eq!(refused.status.code(), Some(2), "{}", out(&refused));
+}
