--- a/lab/src/cluster/cases/play.rs
+++ b/lab/src/cluster/cases/play.rs
@@ -172,7 +172,6 @@
     /// The trouble, the time until all agree again, and the figures.
     fn finish(mut self) -> CaseOutcome {
         let disagreement_known = self.trouble();
-        let rejoined = self.cluster.rejoined - self.rejoined_before;
         let ended = self.cluster.now();
         let mut most = self.share_sum;
         let converged = self.cluster.run_until(CONVERGE_LIMIT, |cluster| {
@@ -212,7 +211,7 @@
             false_reports: changes.iter().filter(lost).filter(|change| !after_heal(change)).count(),
             false_reports_after_heal: changes.iter().filter(lost).filter(after_heal).count(),
             false_suspicions: changes.iter().filter(suspected).count(),
-            rejoined,
+            rejoined: self.cluster.rejoined - self.rejoined_before,
             share_sum: self.share_sum,
             joining: self.joining,
             traffic,
