Peers: views repaired by parts, news paced by a byte budget, digests kept up

Lists hold 34 members at random, most of them known; every change summed the whole view anew and walked the members again. - Anti-entropy by parts of the view (repair.rs) in place of lists: digests of parts, then tags of lives in parts that differ, then records of what is asked for; who is gone is told as well. Peers of schema 1 are asked for lists as before. - A token bucket (pacing.rs): 6,500 bytes a second and 7,500 saved up; probes and their answers always go, gossip waits, lists become short. News is sent in 10 copies, in a burst of changes in 2 (gossip.rs). - Digests and counts are kept up with each change (digest.rs, members.rs); words that cannot be news don't reach the engine, which walks its list for each (inbound.rs).

--- a/src/peers/envelope.rs
+++ b/src/peers/envelope.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use super::identity::Peer;
+use super::membership::repair::RepairMessage;
 
 /// The version of the envelope. Version 2 gave `more` its extensions and made an empty engine payload legal. A later one
 /// adds extensions; it never changes what stands before them.
@@ -57,16 +58,6 @@
     }
 }
 
-impl Envelope<'_> {
-    /// Who sent a datagram without an engine payload.
-    pub fn sender(&self) -> Option<LifeId> {
-        match self.extensions().first() {
-            Some(Extension::Sender(life)) => Some(*life),
-            _ => None,
-        }
-    }
-}
-
 /// One life of one peer, in short: the sender of a datagram that has no engine payload to say so.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct LifeId {
@@ -88,6 +79,8 @@
     Sender(LifeId),
     /// A message of the dissemination, which alone can read it.
     Dissemination(Vec<u8>),
+    /// A message by which views are repaired.
+    Repair(RepairMessage),
 }
 
 /// An extension on the wire: a number for its kind and its length let others pass it over.
@@ -100,12 +93,15 @@
 
 const SENDER: u16 = 1;
 const DISSEMINATION: u16 = 2;
+const REPAIR: u16 = 3;
 
 impl Extension {
     fn from_frame(frame: &Frame) -> Option<Self> {
         match frame.kind {
             SENDER => postcard::from_bytes(frame.body).ok().map(Self::Sender),
             DISSEMINATION => Some(Self::Dissemination(frame.body.to_vec())),
+            // A later version's message is as a later kind.
+            REPAIR => postcard::from_bytes(frame.body).ok().map(Self::Repair),
             _ => None,
         }
     }
@@ -114,6 +110,7 @@
         let (kind, body) = match self {
             Self::Sender(life) => (SENDER, postcard::to_stdvec(life).unwrap_or_default()),
             Self::Dissemination(body) => (DISSEMINATION, body.clone()),
+            Self::Repair(message) => (REPAIR, postcard::to_stdvec(message).unwrap_or_default()),
         };
         if let Ok(frame) = postcard::to_stdvec(&Frame { kind, body: &body }) {
             more.extend(frame);
--- a/src/peers/membership/agreement.rs
+++ b/src/peers/membership/agreement.rs
@@ -118,6 +118,16 @@
         self.unchanged_since = now;
     }
 
+    /// Whether a peer's view differed when it was last heard.
+    pub fn differs(&self, peer: &SocketAddr) -> bool {
+        self.reported.get(peer).is_some_and(|said| said.digest != self.digest)
+    }
+
+    /// What was said too long ago no longer counts.
+    pub fn expire(&mut self, now: Micros) {
+        self.reported.retain(|_, said| now < said.at + FRESH);
+    }
+
     /// Peers whose view differed when they were last heard, at the latest at `until`.
     pub fn differing_until(&self, until: Micros) -> Vec<SocketAddr> {
         let differing = |(_, said): &(_, &ReportedDigest)| said.digest != self.digest && said.at <= until;
@@ -137,7 +147,6 @@
 
     /// Looks at how far views lie apart now; what it tells where that is news.
     pub fn review(&mut self, now: Micros, members: &MemberCounts) -> Option<Agreement> {
-        self.reported.retain(|_, said| now < said.at + FRESH);
         if self.speaks_against(now, members) {
             self.disagree_since.get_or_insert(now);
         } else {
@@ -161,14 +170,16 @@
 
     fn speaks_against(&self, now: Micros, members: &MemberCounts) -> bool {
         let since = self.unchanged_since;
-        // What was said before this view was is no word against it.
-        let mut later = self.reported.values().filter(|said| said.at >= since).peekable();
-        let heard = later.peek().is_some();
-        let differs = later.any(|said| said.digest != self.digest);
-        // Alone, it agrees with itself: with those that it lost it does not.
-        let quiet = (heard || members.nodes <= 1) && now >= since + SETTLED;
         let doubts = members.suspected as f64 > FEW_SUSPECTS * f64::from(members.nodes);
-        differs || doubts || !quiet
+        if doubts || now < since + SETTLED {
+            return true;
+        }
+        // What was said before this view was is no word against it, and no more one for it.
+        let mut later =
+            self.reported.values().filter(|said| said.at >= since && now < said.at + FRESH).peekable();
+        // Alone, it agrees with itself: with those that it lost it does not.
+        let unheard = later.peek().is_none() && members.nodes > 1;
+        unheard || later.any(|said| said.digest != self.digest)
     }
 
     /// With no more than half of those that were there lately, it may be the one cut off.
--- a/src/peers/membership/engine.rs
+++ b/src/peers/membership/engine.rs
@@ -19,15 +19,20 @@
     pub payload: Vec<u8>,
 }
 
+/// A change in who is there, as the engine tells it.
+pub(super) enum MemberChange {
+    Up(Peer),
+    Down(Peer),
+    /// An address has this identity in place of another one.
+    Replaced(Peer),
+}
+
 /// What the engine asks for, as it comes.
 #[derive(Default)]
 pub(super) struct EngineEffects {
     pub messages: Vec<EngineMessage>,
     pub timers: Vec<(Duration, Timer<Peer>)>,
-    pub up: Vec<Peer>,
-    pub down: Vec<Peer>,
-    /// New identities of addresses that had another one.
-    pub replaced: Vec<Peer>,
+    pub changes: Vec<MemberChange>,
     /// Others had declared this process gone: it has another identity now.
     pub rejoined: bool,
 }
@@ -35,16 +40,21 @@
 impl EngineEffects {
     /// Whether anything changed in who is there.
     pub fn changes_members(&self) -> bool {
-        !(self.up.is_empty() && self.down.is_empty() && self.replaced.is_empty()) || self.rejoined
+        !self.changes.is_empty() || self.rejoined
+    }
+
+    /// Whether a member went down.
+    pub fn takes_away(&self) -> bool {
+        self.changes.iter().any(|change| matches!(change, MemberChange::Down(_)))
     }
 }
 
 impl Runtime<Peer> for EngineEffects {
     fn notify(&mut self, notification: Notification<'_, Peer>) {
         match notification {
-            Notification::MemberUp(peer) => self.up.push(peer.clone()),
-            Notification::MemberDown(peer) => self.down.push(peer.clone()),
-            Notification::Rename(_, after) => self.replaced.push(after.clone()),
+            Notification::MemberUp(peer) => self.changes.push(MemberChange::Up(peer.clone())),
+            Notification::MemberDown(peer) => self.changes.push(MemberChange::Down(peer.clone())),
+            Notification::Rename(_, after) => self.changes.push(MemberChange::Replaced(after.clone())),
             Notification::Rejoin(_) => self.rejoined = true,
             _ => {}
         }
--- a/src/peers/membership/farewells.rs
+++ b/src/peers/membership/farewells.rs
@@ -32,24 +32,36 @@
 
 /// The latest farewells; the engine hands them over, and the membership looks them up.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Farewells(Rc<RefCell<VecDeque<Farewell>>>);
+pub(super) struct Farewells(Rc<RefCell<Remembered>>);
+
+#[derive(Debug, Default)]
+struct Remembered {
+    latest: VecDeque<Farewell>,
+    received: u64,
+}
 
 impl Farewells {
     /// Whether this life of a peer said farewell.
     pub fn has(&self, peer: &Peer) -> bool {
-        self.0.borrow().iter().any(|said| said.address == peer.address && said.order >= peer.order)
+        self.0.borrow().latest.iter().any(|said| said.address == peer.address && said.order >= peer.order)
+    }
+
+    /// How many there were: with another number, others are known.
+    pub fn received(&self) -> u64 {
+        self.0.borrow().received
     }
 
     /// Remembers one; whether it is news.
     pub fn remember(&self, farewell: Farewell) -> bool {
         let mut known = self.0.borrow_mut();
-        if known.contains(&farewell) {
+        if known.latest.contains(&farewell) {
             return false;
         }
-        if known.len() >= REMEMBERED {
-            known.pop_front();
+        if known.latest.len() >= REMEMBERED {
+            known.latest.pop_front();
         }
-        known.push_back(farewell);
+        known.latest.push_back(farewell);
+        known.received += 1;
         true
     }
 }
--- /dev/null
+++ b/src/peers/membership/gossip.rs
@@ -0,0 +1,67 @@
+//! How news is passed on: in how many copies, to how many at once, and what is left to repair.
+
+use crate::peers::Micros;
+
+/// Copies of one piece of news that a node sends while little changes. Each copy reaches another node at random, so that
+/// one in `e` to this power is missed; repair brings the rest.
+const COPIES: u8 = 10;
+/// While much changes news is mostly pulled by repair, which sends nobody what it has.
+const COPIES_IN_BURST: u8 = 2;
+/// Peers that are told at once.
+const FAN_OUT: usize = 3;
+const FAN_OUT_IN_BURST: usize = 1;
+/// Pieces of news that may wait to be passed on; what comes beyond them is left to repair.
+const BACKLOG: usize = 32;
+const BACKLOG_IN_BURST: usize = 8;
+/// More changes than this, of late, are a burst.
+const BURST: f64 = 32.0;
+/// Half of the changes are forgotten in this time.
+const HALF_LIFE: f64 = 1_500_000.0;
+
+/// What holds now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct GossipPlan {
+    pub copies: u8,
+    pub fan_out: usize,
+    pub backlog: usize,
+}
+
+/// Follows how much changes.
+pub(super) struct ChangeRate {
+    changes: f64,
+    at: Micros,
+}
+
+impl ChangeRate {
+    pub fn new(now: Micros) -> Self {
+        Self { changes: 0.0, at: now }
+    }
+
+    /// So many members changed.
+    pub fn add(&mut self, now: Micros, changes: usize) {
+        self.changes = self.recent(now) + changes as f64;
+        self.at = now;
+    }
+
+    /// Whether much changes.
+    pub fn is_burst(&self, now: Micros) -> bool {
+        self.recent(now) > BURST
+    }
+
+    pub fn plan(&self, now: Micros) -> GossipPlan {
+        match self.is_burst(now) {
+            true => {
+                GossipPlan { copies: COPIES_IN_BURST, fan_out: FAN_OUT_IN_BURST, backlog: BACKLOG_IN_BURST }
+            }
+            false => GossipPlan { copies: COPIES, fan_out: FAN_OUT, backlog: BACKLOG },
+        }
+    }
+
+    fn recent(&self, now: Micros) -> f64 {
+        let elapsed = now.saturating_sub(self.at) as f64;
+        self.changes * (-elapsed / HALF_LIFE).exp2()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/peers/membership/gossip/tests.rs
@@ -0,0 +1,14 @@
+use super::*;
+
+#[test]
+fn a_burst_is_told_by_its_rate_and_forgotten() {
+    let mut rate = ChangeRate::new(0);
+    for second in 0..60 {
+        rate.add(second * 1_000_000, 5);
+        assert!(!rate.is_burst(second * 1_000_000), "five a second are no burst");
+    }
+    rate.add(60_000_000, 40);
+    assert!(rate.is_burst(60_000_000));
+    assert!(rate.plan(60_000_000).copies < rate.plan(70_000_000).copies);
+    assert!(!rate.is_burst(70_000_000));
+}
--- /dev/null
+++ b/src/peers/membership/inbound/tests.rs
@@ -0,0 +1,71 @@
+use super::*;
+use crate::peers::membership::view::Standing;
+use std::net::SocketAddr;
+
+fn peer(host: u8, order: u64) -> Peer {
+    let address = SocketAddr::from(([10, 0, 0, host], 7_946));
+    Peer { address, order, salt: 1, observer: false, name: format!("n{host}"), more: Vec::new() }
+}
+
+fn message(message: Message<Peer>, updates: &[MemberUpdate], tail: &[u8]) -> Vec<u8> {
+    let header = Header { src: peer(1, 1), src_incarnation: 2, dst: peer(2, 1), message };
+    let mut bytes = postcard::to_stdvec(&header).unwrap();
+    bytes.extend((updates.len() as u16).to_be_bytes());
+    updates.iter().for_each(|update| bytes.extend(postcard::to_stdvec(update).unwrap()));
+    bytes.extend(tail);
+    bytes
+}
+
+fn alive(hosts: std::ops::Range<u8>) -> Vec<MemberUpdate> {
+    hosts.map(|host| Member::alive(peer(host, 1))).collect()
+}
+
+#[test]
+fn a_message_is_taken_apart_and_put_together_without_its_updates() {
+    let bytes = message(Message::Ping(7), &alive(3..9), &[0, 1, 5]);
+    let inbound = InboundMessage::decode(&bytes).unwrap();
+    assert_eq!((inbound.header.src.clone(), &inbound.updates), (peer(1, 1), &alive(3..9)));
+    assert_eq!(inbound.without_updates(), message(Message::Ping(7), &[], &[0, 1, 5]));
+}
+
+#[test]
+fn a_message_without_updates_stays_as_it_is_and_a_cut_one_is_malformed() {
+    let header = Header { src: peer(1, 1), src_incarnation: 2, dst: peer(2, 1), message: Message::Announce };
+    let bytes = postcard::to_stdvec(&header).unwrap();
+    assert_eq!(InboundMessage::decode(&bytes).unwrap().without_updates(), bytes);
+    let bytes = message(Message::Gossip, &alive(3..9), &[]);
+    assert!(InboundMessage::decode(&bytes[..bytes.len() - 3]).is_none());
+    assert!(InboundMessage::decode(&bytes[..10]).is_none());
+}
+
+#[test]
+fn a_truncated_message_holds_the_first_updates() {
+    let bytes = message(Message::Feed, &alive(3..9), &[0, 1, 5]);
+    assert_eq!(truncate_updates(&bytes, 6), bytes);
+    assert_eq!(truncate_updates(&bytes, 2), message(Message::Feed, &alive(3..5), &[]));
+    assert_eq!(truncate_updates(&bytes, 0), message(Message::Feed, &[], &[]));
+    assert_eq!(truncate_updates(&[1, 2], 0), [1, 2]);
+}
+
+#[test]
+fn the_engine_is_spared_what_it_knows() {
+    let mut table = MemberTable::new();
+    table.set(1, &peer(1, 5), Standing::Present);
+    table.set(1, &peer(2, 5), Standing::Lost);
+    let down = |host, order| Member::down(peer(host, order));
+    for (update, news) in [
+        (Member::alive(peer(1, 5)), false),
+        (Member::alive(peer(1, 4)), false),
+        (Member::alive(peer(1, 6)), true),
+        (Member::alive(peer(3, 1)), true),
+        (down(1, 4), false),
+        (down(1, 5), true),
+        (down(2, 5), false),
+        (down(3, 5), true),
+        (Member::alive(peer(2, 5)), false),
+        (Member::new(peer(1, 5), 0, State::Suspect), true),
+        (Member::new(peer(1, 5), 0, State::Suspect), false),
+    ] {
+        assert_eq!(is_news(&mut table, &update), news, "{update:?}");
+    }
+}
--- a/src/peers/membership/joining.rs
+++ b/src/peers/membership/joining.rs
@@ -1,6 +1,6 @@
 //! How company is found: seeds, and peers that were known before.
 
-use std::collections::VecDeque;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,50 +11,47 @@
 const WIDTH: usize = 3;
 /// A node that has company still asks a seed this often: two fleets that never met find each other.
 const WAIT_IN_COMPANY: Duration = Duration::from_secs(20);
-/// Addresses that are tried when nobody is left, beside the seeds.
-const REMEMBERED: usize = 1_024;
-
 /// Whom to ask now, and when to ask again.
 pub(super) struct JoinAttempt {
     pub addresses: Vec<SocketAddr>,
     pub wait: Duration,
 }
 
-/// Seeds, peers that were known, and the wait between attempts.
+/// What is known of somebody at an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Acquaintance {
+    Present,
+    /// It was present once.
+    Past,
+}
+
+/// Seeds, and the wait between attempts.
 pub(super) struct Joining {
     seeds: Vec<SocketAddr>,
-    /// The latest first.
-    remembered: VecDeque<SocketAddr>,
     wait: Duration,
 }
 
 impl Joining {
     pub fn new(seeds: Vec<SocketAddr>) -> Self {
-        Self { seeds, remembered: VecDeque::new(), wait: FIRST_WAIT }
-    }
-
-    /// A node was met there.
-    pub fn remember(&mut self, address: SocketAddr) {
-        self.remembered.retain(|known| *known != address);
-        self.remembered.push_front(address);
-        self.remembered.truncate(REMEMBERED);
+        Self { seeds, wait: FIRST_WAIT }
     }
 
-    /// The next attempt. `is_present`: one that is there already has nothing to tell.
+    /// The next attempt. `known`: nodes that were met.
     pub fn attempt(
         &mut self,
         me: SocketAddr,
         alone: bool,
-        is_present: impl Fn(&SocketAddr) -> bool,
+        known: &BTreeMap<SocketAddr, Acquaintance>,
         random: &mut fastrand::Rng,
     ) -> JoinAttempt {
         let mut among = self.seeds.clone();
         if alone {
-            among.extend(self.remembered.iter().copied());
+            among.extend(known.keys());
         }
         among.retain(|address| *address != me);
         if !alone {
-            among.retain(|address| !is_present(address));
+            // One that is there already has nothing to tell.
+            among.retain(|address| known.get(address) != Some(&Acquaintance::Present));
         }
         random.shuffle(&mut among);
         among.truncate(WIDTH);
--- a/src/peers/membership/joining/tests.rs
+++ b/src/peers/membership/joining/tests.rs
@@ -7,11 +7,11 @@
 #[test]
 fn one_alone_asks_seeds_and_those_it_knew_with_longer_and_longer_waits() {
     let mut joining = Joining::new(vec![address(1), address(2)]);
-    joining.remember(address(3));
+    let known = BTreeMap::from([(address(3), Acquaintance::Past)]);
     let mut random = fastrand::Rng::with_seed(1);
     let mut nominal = Duration::from_millis(500);
     for _ in 0..8 {
-        let attempt = joining.attempt(address(1), true, |_| false, &mut random);
+        let attempt = joining.attempt(address(1), true, &known, &mut random);
         let mut addresses = attempt.addresses;
         addresses.sort();
         assert_eq!(addresses, [address(2), address(3)]);
@@ -23,9 +23,9 @@
 #[test]
 fn in_company_absent_seeds_alone_are_asked() {
     let mut joining = Joining::new(vec![address(1), address(2)]);
-    joining.remember(address(3));
+    let known = [(address(1), Acquaintance::Present), (address(3), Acquaintance::Past)].into();
     let mut random = fastrand::Rng::with_seed(1);
-    let attempt = joining.attempt(address(9), false, |there| *there == address(1), &mut random);
+    let attempt = joining.attempt(address(9), false, &known, &mut random);
     assert_eq!(attempt.addresses, [address(2)]);
     assert!(attempt.wait >= WAIT_IN_COMPANY / 2);
 }
--- a/src/peers/membership/mod.rs
+++ b/src/peers/membership/mod.rs
@@ -4,10 +4,16 @@
 pub(super) mod admission;
 mod agreement;
 mod count;
+mod digest;
 mod engine;
 mod farewells;
+mod gossip;
+mod inbound;
 mod joining;
+mod members;
 mod names;
+mod pacing;
+pub(super) mod repair;
 mod settings;
 mod timers;
 mod traffic;
@@ -23,6 +29,7 @@
 use foca::{State, Timer};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use super::envelope::{encode_extensions, Envelope, Extension, LifeId, EXTENSIONS_SINCE, SCHEMA};
@@ -30,11 +37,15 @@
 use super::{Micros, Output};
 use admission::DropReason;
 use agreement::{AgreementTracker, MemberCounts, SETTLED};
-use engine::{Engine, EngineEffects, EngineMessage};
+use engine::{Engine, EngineEffects, EngineMessage, MemberChange};
 use farewells::{Farewell, Farewells};
-use joining::Joining;
+use gossip::{ChangeRate, GossipPlan};
+use inbound::{InboundMessage, MemberUpdate};
+use joining::{Acquaintance, Joining};
+use members::{Member, MemberTable};
+use pacing::{Pace, Pacing};
+use repair::{LocalView, Repair, RepairMessage, RepairOutcome};
 use timers::{TimerEvent, TimerQueue};
-use view::{life_hash, MemberTable};
 
 /// Peers that are held at the most; datagrams of others are dropped.
 const MOST_PEERS: usize = 20_000;
@@ -42,10 +53,10 @@
 const ASLEEP: Micros = 700_000;
 /// Agreement is reviewed this often.
 const REVIEW_EVERY: Micros = SETTLED / 4;
-/// A peer whose view differed when it was last heard, that long ago, is asked for its list.
-const ASK_AFTER: Micros = 400_000;
+/// A peer whose view differed when it was last heard, that long ago, is asked to compare.
+const COMPARE_AFTER: Micros = 400_000;
 /// So many at once.
-const ASK_WIDTH: usize = 3;
+const COMPARE_WIDTH: usize = 3;
 
 /// One process's part in the membership.
 pub(super) struct Membership {
@@ -53,14 +64,20 @@
     me: Peer,
     engine: Engine,
     farewells: Farewells,
+    /// How many of them the members were held against.
+    farewells_seen: u64,
     random: fastrand::Rng,
     timers: TimerQueue,
     members: MemberTable,
-    /// Nodes that are present, itself among them.
-    nodes: u32,
+    /// The engine may suspect others than the table says.
+    suspicions_changed: bool,
     joining: Joining,
     agreement: AgreementTracker,
     count: Count,
+    changes: ChangeRate,
+    plan: GossipPlan,
+    repair: Repair,
+    pacing: Pacing,
     traffic: Traffic,
     /// It has left, or gave its name up.
     left: bool,
@@ -70,22 +87,31 @@
     /// A process that has not met anybody. `seed`: for its random draws.
     pub fn new(config: PeersConfig, me: Peer, seed: u64, now: Micros) -> Self {
         let random = SmallRng::seed_from_u64(seed);
-        let settings = config.engine(config.nodes as usize, 0);
+        let changes = ChangeRate::new(now);
+        let plan = changes.plan(now);
+        let settings = config.engine(config.nodes as usize, 0, plan);
         let farewells = Farewells::default();
         let handler = farewells.clone();
         let engine =
             Engine::with_custom_broadcast(me.clone(), settings, random, foca::PostcardCodec, handler);
         let memory = config.count.memory.as_micros() as Micros;
+        let mut members = MemberTable::new();
+        members.set_own(None, &me);
         let mut membership = Self {
             engine,
             farewells,
+            farewells_seen: 0,
             random: fastrand::Rng::with_seed(!seed),
             timers: TimerQueue::default(),
-            members: MemberTable::default(),
-            nodes: 0,
+            members,
+            suspicions_changed: false,
             joining: Joining::new(config.seeds.clone()),
             agreement: AgreementTracker::new(now, memory),
             count: Count::new(config.count, config.nodes),
+            changes,
+            plan,
+            repair: Repair::new(seed.rotate_left(32)),
+            pacing: Pacing::new(now),
             traffic: Traffic::default(),
             left: false,
             config,
@@ -107,6 +133,12 @@
         self.engine.identity()
     }
 
+    /// Nodes that are present, itself among them.
+    fn nodes(&self) -> u32 {
+        let counts = self.members.counts();
+        (counts.present + counts.suspected) as u32 + u32::from(!self.me.observer)
+    }
+
     /// Whether it has left, or gave its name up.
     pub fn has_left(&self) -> bool {
         self.left
@@ -120,36 +152,164 @@
         out: &mut Vec<Output>,
     ) -> Result<(), DropReason> {
         if envelope.schema >= EXTENSIONS_SINCE && envelope.payload.is_empty() {
-            return self.receive_without_engine(now, envelope);
+            return self.receive_without_engine(now, envelope, out);
         }
         // Who sent it is in it: behind a relay or a mapping it comes from elsewhere.
-        let (header, _) = postcard::take_from_bytes::<foca::Header<Peer>>(envelope.payload)
-            .map_err(|_| DropReason::Malformed)?;
-        let sender = header.src.address;
+        let message = InboundMessage::decode(envelope.payload).ok_or(DropReason::Malformed)?;
+        let sender = message.header.src.address;
         let known = self.members.get(&sender).is_some();
         if self.members.len() >= MOST_PEERS && !known {
             return Err(DropReason::Crowd);
         }
-        let mut effects = EngineEffects::default();
-        let handled = self.engine.handle_data(envelope.payload, &mut effects);
-        self.apply(now, effects, out);
+        self.follow_change_rate(now);
+        let handled = self.hand_to_engine(now, message, out);
         if self.members.get(&sender).is_some_and(|held| !held.peer.observer) {
             self.agreement.report(now, sender, envelope.digest);
         }
         self.members.heard(&sender, envelope.schema);
+        handled
+    }
+
+    /// Gives the engine the words on members that may be news to it, and then the message itself.
+    fn hand_to_engine(
+        &mut self,
+        now: Micros,
+        message: InboundMessage,
+        out: &mut Vec<Output>,
+    ) -> Result<(), DropReason> {
+        let source = &message.header.src;
+        let is_gone = |held: &Member| held.standing.is_gone() && !source.before(&held.peer);
+        let sender_is_gone = self.members.get(&source.address).is_some_and(is_gone);
+        // The engine would not take them from one that it holds for gone, nor what was meant for another life.
+        let accepted = message.header.dst == *self.me() && !sender_is_gone;
+        let word = members::Word { incarnation: message.header.src_incarnation, suspected: false };
+        self.suspicions_changed |= self.members.hear_word(source, word);
+        let payload = message.without_updates();
+        if accepted && !message.updates.is_empty() {
+            let mut effects = EngineEffects::default();
+            self.apply_updates(message.updates, &mut effects);
+            self.apply(now, effects, out);
+        }
+        let mut effects = EngineEffects::default();
+        let handled = self.engine.handle_data(&payload, &mut effects);
+        self.apply(now, effects, out);
         handled.map_err(|_| DropReason::Malformed)
     }
 
+    /// Gives the engine words that may be news. Those beyond what may wait to be passed on are left to repair.
+    fn apply_updates(&mut self, updates: Vec<MemberUpdate>, effects: &mut EngineEffects) {
+        for update in updates {
+            let room = self.members.len() < MOST_PEERS;
+            if !room && self.members.get(&update.id().address).is_none() {
+                continue;
+            }
+            if inbound::is_news(&mut self.members, &update) {
+                self.suspicions_changed |= update.state() != State::Down;
+                let pass_on = self.engine.updates_backlog() < self.plan.backlog;
+                // Errors would be of its size alone.
+                let _ = self.engine.apply_many([update].into_iter(), pass_on, &mut *effects);
+            }
+        }
+    }
+
     /// A datagram with extensions alone: it tells its sender's digest, where that one is present.
-    fn receive_without_engine(&mut self, now: Micros, envelope: &Envelope) -> Result<(), DropReason> {
-        let sender = envelope.sender().ok_or(DropReason::Malformed)?;
-        if self.is_present(&sender) {
-            self.agreement.report(now, sender.address, envelope.digest);
-            self.members.heard(&sender.address, envelope.schema);
+    fn receive_without_engine(
+        &mut self,
+        now: Micros,
+        envelope: &Envelope,
+        out: &mut Vec<Output>,
+    ) -> Result<(), DropReason> {
+        let mut extensions = envelope.extensions().into_iter();
+        let Some(Extension::Sender(sender)) = extensions.next() else { return Err(DropReason::Malformed) };
+        if !self.is_present(&sender) {
+            return Ok(());
+        }
+        self.agreement.report(now, sender.address, envelope.digest);
+        self.members.heard(&sender.address, envelope.schema);
+        for extension in extensions {
+            if let Extension::Repair(message) = extension {
+                self.receive_repair(now, sender.address, message, out);
+            }
         }
         Ok(())
     }
 
+    fn receive_repair(
+        &mut self,
+        now: Micros,
+        from: SocketAddr,
+        message: RepairMessage,
+        out: &mut Vec<Output>,
+    ) {
+        if message == RepairMessage::Compare {
+            return self.answer_comparison(now, from, out);
+        }
+        let view = LocalView {
+            me: self.engine.identity(),
+            members: &self.members,
+            nodes: self.nodes(),
+            burst: self.changes.is_burst(now),
+        };
+        let outcome = self.repair.receive(now, view, message);
+        self.carry_out_repair(now, from, outcome, out);
+    }
+
+    /// Tells the present digest, and those of parts where the peer's view differed when it asked.
+    fn answer_comparison(&mut self, now: Micros, to: SocketAddr, out: &mut Vec<Output>) {
+        let mut messages = Vec::new();
+        if self.agreement.differs(&to) {
+            let view = LocalView {
+                me: self.engine.identity(),
+                members: &self.members,
+                nodes: self.nodes(),
+                burst: self.changes.is_burst(now),
+            };
+            messages.push(self.repair.digests(view));
+        }
+        self.send_repair(now, to, Pace::Comparison, messages, out);
+    }
+
+    fn carry_out_repair(
+        &mut self,
+        now: Micros,
+        from: SocketAddr,
+        outcome: RepairOutcome,
+        out: &mut Vec<Output>,
+    ) {
+        for messages in outcome.answers {
+            self.send_repair(now, from, Pace::Answer, messages, out);
+        }
+        let mut updates = Vec::new();
+        for (peer, left) in outcome.gone {
+            if left {
+                self.farewells.remember(Farewell { address: peer.address, order: peer.order });
+            }
+            updates.push(MemberUpdate::down(peer));
+        }
+        let peers: Vec<_> = outcome.alive.iter().map(|record| record.peer.clone()).collect();
+        let alive = |record: repair::Record| MemberUpdate::new(record.peer, record.incarnation, State::Alive);
+        updates.extend(outcome.alive.into_iter().map(alive));
+        if updates.is_empty() {
+            return;
+        }
+        let mut effects = EngineEffects::default();
+        for update in updates {
+            let room = self.members.len() < MOST_PEERS || self.members.get(&update.id().address).is_some();
+            if room && inbound::is_news(&mut self.members, &update) {
+                // Others pull it as well: it is not passed on. Errors would be of its size alone.
+                let _ = self.engine.apply_many([update].into_iter(), false, &mut effects);
+            }
+        }
+        self.apply(now, effects, out);
+        for peer in peers {
+            let taken =
+                self.members.get(&peer.address).is_some_and(|held| held.is_counted() && held.peer == peer);
+            if !taken {
+                self.repair.refused(now, &peer);
+            }
+        }
+    }
+
     /// Whether this life of a node is present, as far as is known here.
     pub fn is_present(&self, life: &LifeId) -> bool {
         let held = self.members.get(&life.address);
@@ -166,17 +326,39 @@
     /// Sends extensions without a message of the engine, to one that reads them; whether that was possible.
     #[allow(dead_code)] // The parts that share the socket send by it.
     pub fn send_extensions(&self, to: SocketAddr, extensions: Vec<Extension>, out: &mut Vec<Output>) -> bool {
-        if !self.reads_extensions(&to) {
-            return false;
-        }
-        let sender = [Extension::Sender(LifeId::from(self.me()))];
-        let all: Vec<_> = sender.into_iter().chain(extensions).collect();
-        let data = self.datagram(&[], &all);
+        let data = self.extensions_datagram(&to, extensions);
         let fits = data.is_some();
         out.extend(data.map(|data| Output::Send { to, data }));
         fits
     }
 
+    /// A datagram of extensions without a message of the engine, for one that reads them.
+    fn extensions_datagram(&self, to: &SocketAddr, extensions: Vec<Extension>) -> Option<Vec<u8>> {
+        if !self.reads_extensions(to) {
+            return None;
+        }
+        let sender = [Extension::Sender(LifeId::from(self.me()))];
+        let all: Vec<_> = sender.into_iter().chain(extensions).collect();
+        self.datagram(&[], &all)
+    }
+
+    /// Sends messages of the repair, where the budget has room for them.
+    fn send_repair(
+        &mut self,
+        now: Micros,
+        to: SocketAddr,
+        pace: Pace,
+        messages: Vec<RepairMessage>,
+        out: &mut Vec<Output>,
+    ) {
+        let extensions = messages.into_iter().map(Extension::Repair).collect();
+        let Some(data) = self.extensions_datagram(&to, extensions) else { return };
+        if self.pacing.try_take(now, pace, data.len()) {
+            self.traffic.add(TrafficKind::Repair, data.len());
+            out.push(Output::Send { to, data });
+        }
+    }
+
     /// Time has come for what is due.
     pub fn run_timers(&mut self, now: Micros, out: &mut Vec<Output>) {
         let late = now.saturating_sub(self.next().unwrap_or(now));
@@ -198,6 +380,13 @@
     }
 
     fn engine_timer(&mut self, now: Micros, timer: Timer<Peer>, out: &mut Vec<Output>) {
+        self.follow_change_rate(now);
+        if matches!(timer, Timer::PeriodicGossip(_)) {
+            if let Some(wait) = self.pacing.gossip_wait(now, self.plan.fan_out, self.engine.updates_backlog())
+            {
+                return self.timers.add(now + wait, TimerEvent::Engine(timer));
+            }
+        }
         let mut effects = EngineEffects::default();
         let suspect = match &timer {
             Timer::ChangeSuspectToDown { member_id, .. } => Some(member_id.address),
@@ -205,7 +394,7 @@
         };
         // An error is a probe whose timers came out of order, after a sleep: the next one begins anew.
         let _ = self.engine.handle_timer(timer, &mut effects);
-        if effects.down.is_empty() {
+        if !effects.takes_away() {
             // foca 2.0 tells a suspect that it is gone even where that one has cleared itself meanwhile: it would come back
             // under a new identity, and every view with it.
             effects.messages.retain(|message| Some(message.to) != suspect);
@@ -213,6 +402,15 @@
         self.apply(now, effects, out);
     }
 
+    /// The engine passes on less while much changes.
+    fn follow_change_rate(&mut self, now: Micros) {
+        let plan = self.changes.plan(now);
+        if plan != self.plan {
+            self.plan = plan;
+            self.adapt_engine();
+        }
+    }
+
     /// Says farewell: the others know at once, and suspect nothing.
     pub fn leave(&mut self, now: Micros, out: &mut Vec<Output>) {
         if self.left {
@@ -234,7 +432,7 @@
     /// The figures of its view, without the list of peers.
     pub fn summary(&self) -> ViewSummary {
         ViewSummary {
-            nodes: self.nodes,
+            nodes: self.nodes(),
             in_force: self.count.in_force(),
             agreement: self.agreement.agreement(),
             digest: self.agreement.digest(),
@@ -250,7 +448,7 @@
     pub fn view(&self, now: Micros) -> View {
         View {
             peers: self.members.seen(now),
-            nodes: self.nodes,
+            nodes: self.nodes(),
             in_force: self.count.in_force(),
             agreement: self.agreement.agreement(),
             since: self.agreement.lasts(now),
@@ -263,10 +461,13 @@
     fn join(&mut self, now: Micros, out: &mut Vec<Output>) {
         let alone = self.engine.num_members() == 0;
         let me = self.me().address;
-        let members = &self.members;
-        let is_present =
-            |address: &SocketAddr| members.get(address).is_some_and(|m| m.standing == Standing::Present);
-        let attempt = self.joining.attempt(me, alone, is_present, &mut self.random);
+        let nodes = self.members.iter().filter(|member| !member.peer.observer);
+        let acquaintance = |member: &Member| match member.standing {
+            Standing::Present => Acquaintance::Present,
+            _ => Acquaintance::Past,
+        };
+        let known: BTreeMap<_, _> = nodes.map(|member| (member.peer.address, acquaintance(member))).collect();
+        let attempt = self.joining.attempt(me, alone, &known, &mut self.random);
         let mut effects = EngineEffects::default();
         for address in attempt.addresses {
             // Errors would be of its size alone.
@@ -280,37 +481,55 @@
     fn apply(&mut self, now: Micros, effects: EngineEffects, out: &mut Vec<Output>) {
         let changed = effects.changes_members();
         for (after, timer) in effects.timers {
+            self.suspicions_changed |= matches!(timer, Timer::ChangeSuspectToDown { .. });
             self.timers.add(now + after.as_micros() as Micros, TimerEvent::Engine(timer));
         }
         if effects.rejoined {
-            self.me = self.engine.identity().clone();
+            let before = std::mem::replace(&mut self.me, self.engine.identity().clone());
+            self.members.set_own(Some(&before), &self.me);
             out.push(Output::CameBack);
         }
-        effects.replaced.iter().for_each(|peer| self.members.replace(peer));
-        for peer in effects.down {
-            let standing = match self.farewells.has(&peer) {
-                true => Standing::Left,
-                false => Standing::Lost,
-            };
-            self.set_standing(now, peer, standing, out);
-        }
-        for peer in effects.up {
-            self.set_standing(now, peer, Standing::Present, out);
+        self.changes.add(now, effects.changes.len());
+        let mut arrived = Vec::new();
+        for change in effects.changes {
+            match change {
+                MemberChange::Replaced(peer) => {
+                    self.members.replace(&peer);
+                    arrived.push(peer);
+                }
+                MemberChange::Down(peer) => {
+                    let standing = match self.farewells.has(&peer) {
+                        true => Standing::Left,
+                        false => Standing::Lost,
+                    };
+                    self.set_standing(now, peer, standing, out);
+                }
+                MemberChange::Up(peer) => {
+                    self.set_standing(now, peer.clone(), Standing::Present, out);
+                    arrived.push(peer);
+                }
+            }
         }
         if changed {
             self.update_view(now);
             self.adapt_engine();
-            self.resolve_name_conflict(now, out);
+            self.resolve_name_conflict(now, &arrived, out);
         }
-        self.send(effects.messages, out);
+        self.send(now, effects.messages, out);
         if changed {
-            self.review(now, out);
+            self.suspicions_changed = true;
+            self.judge(now, out);
         }
     }
 
-    fn send(&mut self, messages: Vec<EngineMessage>, out: &mut Vec<Output>) {
-        for EngineMessage { to, kind, payload } in messages {
+    fn send(&mut self, now: Micros, messages: Vec<EngineMessage>, out: &mut Vec<Output>) {
+        for EngineMessage { to, kind, mut payload } in messages {
+            if kind == TrafficKind::Feed {
+                let Some(most) = self.pacing.members_in_feed(now, payload.len()) else { continue };
+                payload = inbound::truncate_updates(&payload, most);
+            }
             if let Some(data) = self.datagram(&payload, &[]) {
+                self.pacing.take(now, data.len());
                 self.traffic.add(kind, data.len());
                 out.push(Output::Send { to, data });
             }
@@ -324,7 +543,7 @@
             schema: SCHEMA,
             cluster: &self.config.cluster,
             digest: self.agreement.digest(),
-            nodes: self.nodes,
+            nodes: self.nodes(),
             payload,
             more: &more,
         };
@@ -333,16 +552,13 @@
 
     /// The engine's times follow the number of peers, and of those in doubt.
     fn adapt_engine(&mut self) {
-        let suspects = self.members.iter().filter(|held| held.standing == Standing::Suspected).count();
-        let settings = self.config.engine(self.engine.num_members() + 1, suspects);
+        let suspects = self.members.counts().suspected;
+        let settings = self.config.engine(self.engine.num_members() + 1, suspects, self.plan);
         // What differs are times and numbers that may change at any moment.
         let _ = self.engine.set_config(settings);
     }
 
     fn set_standing(&mut self, now: Micros, peer: Peer, standing: Standing, out: &mut Vec<Output>) {
-        if standing == Standing::Present && !peer.observer {
-            self.joining.remember(peer.address);
-        }
         if standing.is_gone() {
             self.agreement.forget(&peer.address);
         }
@@ -351,12 +567,11 @@
         }
     }
 
-    fn resolve_name_conflict(&mut self, now: Micros, out: &mut Vec<Output>) {
+    fn resolve_name_conflict(&mut self, now: Micros, arrived: &[Peer], out: &mut Vec<Output>) {
         if self.left {
             return;
         }
-        let members = self.engine.iter_members().map(foca::Member::id);
-        let Some(conflict) = names::find_conflict(&self.me, members) else { return };
+        let Some(conflict) = names::find_conflict(&self.me, arrived.iter()) else { return };
         let yields = conflict.yields;
         out.push(Output::NameClaimed { by: conflict.by, yields });
         if yields {
@@ -365,81 +580,110 @@
     }
 
     fn update_view(&mut self, now: Micros) {
+        let digest = self.members.digest().whole();
+        debug_assert_eq!(digest, self.summed_digest(), "the digest is kept up with each change");
+        self.agreement.set_view(now, digest, self.nodes());
+    }
+
+    /// The digest of what the engine holds, summed anew.
+    fn summed_digest(&self) -> u64 {
         let nodes = self.engine.iter_members().map(foca::Member::id).chain([self.engine.identity()]);
-        let (mut digest, mut count) = (0u64, 0u32);
-        for peer in nodes.filter(|peer| !peer.observer) {
-            digest = digest.wrapping_add(life_hash(peer));
-            count += 1;
-        }
-        self.nodes = count;
-        self.agreement.set_view(now, digest, count);
+        let counted = nodes.filter(|peer| !peer.observer);
+        counted.fold(0, |sum, peer| sum.wrapping_add(digest::life_hash(peer)))
     }
 
-    /// Asks some of those whose view differed for their lists: the answer tells a present digest, and what was missed.
-    fn ask_for_lists(&mut self, now: Micros, out: &mut Vec<Output>) {
-        let Some(until) = now.checked_sub(ASK_AFTER) else { return };
+    /// Asks some of those whose view differed to compare: the answer tells a present digest, and where views differ.
+    fn compare_views(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let Some(until) = now.checked_sub(COMPARE_AFTER) else { return };
         let mut among = self.agreement.differing_until(until);
         among.sort_unstable();
         self.random.shuffle(&mut among);
-        let mut effects = EngineEffects::default();
-        for address in among.into_iter().take(ASK_WIDTH) {
-            if let Some(held) = self.members.get(&address) {
-                // Errors would be of its size alone.
-                let _ = self.engine.announce(held.peer.clone(), &mut effects);
+        for address in among.into_iter().take(COMPARE_WIDTH) {
+            if self.reads_extensions(&address) {
+                self.send_repair(now, address, Pace::Comparison, vec![RepairMessage::Compare], out);
+            } else {
+                self.ask_for_list(now, address, out);
             }
         }
-        self.send(effects.messages, out);
     }
 
-    /// Looks at how far views lie apart, and at what may be relied on.
+    /// A peer of the first schema is asked for a list of members.
+    fn ask_for_list(&mut self, now: Micros, address: SocketAddr, out: &mut Vec<Output>) {
+        let Some(held) = self.members.get(&address) else { return };
+        let mut effects = EngineEffects::default();
+        // Errors would be of its size alone.
+        let _ = self.engine.announce(held.peer.clone(), &mut effects);
+        self.send(now, effects.messages, out);
+    }
+
+    /// Looks at how far views lie apart, repairs, and judges what may be relied on.
     fn review(&mut self, now: Micros, out: &mut Vec<Output>) {
         if self.left {
             return;
         }
+        self.follow_change_rate(now);
         self.follow_suspicions(now, out);
-        let members = MemberCounts {
-            nodes: self.nodes,
-            suspected: self.members.count(Standing::Suspected),
-            lost: self.members.count(Standing::Lost),
-        };
-        let news = self.agreement.review(now, &members);
-        self.ask_for_lists(now, out);
-        out.extend(news.map(Output::Agreement));
+        self.follow_farewells(now, out);
+        self.agreement.expire(now);
+        self.repair.expire(now);
+        self.judge(now, out);
+        self.compare_views(now, out);
+    }
+
+    /// Says how far views lie apart, and what may be relied on.
+    fn judge(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if self.left {
+            return;
+        }
+        let counts = self.members.counts();
+        let members = MemberCounts { nodes: self.nodes(), suspected: counts.suspected, lost: counts.lost };
+        out.extend(self.agreement.review(now, &members).map(Output::Agreement));
         // Fewer may be believed once those that are left agree, whatever became of the others: the count's own rule keeps
         // what follows from it in bounds.
-        if self.count.sees(now, self.nodes, self.agreement.is_agreed()) {
+        if self.count.sees(now, members.nodes, self.agreement.is_agreed()) {
             out.push(Output::Count(self.count.in_force()));
         }
     }
 
-    /// Takes over whom the engine suspects and cleared, and farewells that came after the word that their peer is gone.
+    /// Takes over whom the engine suspects, and whom it cleared.
     fn follow_suspicions(&mut self, now: Micros, out: &mut Vec<Output>) {
-        let mut suspected = Vec::new();
-        let mut cleared = Vec::new();
+        if !std::mem::take(&mut self.suspicions_changed) {
+            return;
+        }
+        let mut changed = Vec::new();
         for member in self.engine.iter_members() {
             let standing = self.members.get(&member.id().address).map(|held| held.standing);
             match (member.state(), standing) {
-                (State::Suspect, Some(Standing::Present)) => suspected.push(member.id().clone()),
-                (State::Alive, Some(Standing::Suspected)) => cleared.push(member.id().clone()),
+                (State::Suspect, Some(Standing::Present)) => {
+                    changed.push((member.id().clone(), Standing::Suspected));
+                }
+                (State::Alive, Some(Standing::Suspected)) => {
+                    changed.push((member.id().clone(), Standing::Present));
+                }
                 _ => {}
             }
         }
+        let any = !changed.is_empty();
+        for (peer, standing) in changed {
+            self.set_standing(now, peer, standing, out);
+        }
+        if any {
+            self.adapt_engine();
+        }
+    }
+
+    /// A farewell may come after the word that its peer is gone.
+    fn follow_farewells(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let received = self.farewells.received();
+        if received == std::mem::replace(&mut self.farewells_seen, received) {
+            return;
+        }
         let said_farewell =
-            |held: &&view::Member| held.standing == Standing::Lost && self.farewells.has(&held.peer);
+            |held: &&Member| held.standing == Standing::Lost && self.farewells.has(&held.peer);
         let left: Vec<_> = self.members.iter().filter(said_farewell).map(|held| held.peer.clone()).collect();
         for peer in left {
             self.set_standing(now, peer, Standing::Left, out);
         }
-        let doubts = !(suspected.is_empty() && cleared.is_empty());
-        for peer in suspected {
-            self.set_standing(now, peer, Standing::Suspected, out);
-        }
-        for peer in cleared {
-            self.set_standing(now, peer, Standing::Present, out);
-        }
-        if doubts {
-            self.adapt_engine();
-        }
     }
 }
 
--- /dev/null
+++ b/src/peers/membership/pacing.rs
@@ -0,0 +1,79 @@
+//! How many bytes membership may send, and what waits where they are short.
+
+use crate::peers::budget::{ByteBudget, TrafficClass};
+use crate::peers::Micros;
+
+/// Bytes that membership sends in any 5 s at the most, but for probes and their answers, which always go: 8,000 a second
+/// on the mean. The rate over 5 s and the depth together come to that.
+const BYTES_PER_SECOND: u32 = 6_500;
+const DEPTH: u32 = 7_500;
+/// A message of gossip without news, and what each piece of news adds: two identities, and one.
+const GOSSIP_BYTES: usize = 140;
+const NEWS_BYTES: usize = 34;
+/// A message is no longer than this.
+const MESSAGE_BYTES: usize = 1_200;
+/// Gossip that waits for bytes is tried again after this time at the earliest and at the latest.
+const GOSSIP_WAITS: (Micros, Micros) = (50_000, 500_000);
+/// Members in a list while bytes are short: enough to have company, which repair needs.
+const FEW_MEMBERS: usize = 4;
+const FEW_MEMBERS_BYTES: usize = 300;
+
+/// What a message of the repair is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Pace {
+    /// It begins a comparison; the first to wait.
+    Comparison,
+    /// It answers: what came before it is lost without it.
+    Answer,
+}
+
+/// The bytes that membership may send.
+pub(super) struct Pacing {
+    budget: ByteBudget,
+}
+
+impl Pacing {
+    pub fn new(now: Micros) -> Self {
+        Self { budget: ByteBudget::new(BYTES_PER_SECOND, DEPTH, now) }
+    }
+
+    /// What goes in any case.
+    pub fn take(&mut self, now: Micros, bytes: usize) {
+        self.budget.take(now, bytes);
+    }
+
+    /// Whether a message of the repair may go.
+    pub fn try_take(&mut self, now: Micros, pace: Pace, bytes: usize) -> bool {
+        let class = match pace {
+            Pace::Comparison => TrafficClass::Repair,
+            Pace::Answer => TrafficClass::Configuration,
+        };
+        self.budget.try_take(now, class, bytes)
+    }
+
+    /// How long a round of gossip has to wait; none where it may go.
+    pub fn gossip_wait(&mut self, now: Micros, fan_out: usize, backlog: usize) -> Option<Micros> {
+        if backlog == 0 {
+            return None;
+        }
+        let message = (GOSSIP_BYTES + backlog * NEWS_BYTES).min(MESSAGE_BYTES);
+        let (earliest, latest) = GOSSIP_WAITS;
+        match self.budget.wait(now, TrafficClass::Log, message * fan_out) {
+            Some(0) => None,
+            Some(wait) => Some(wait.clamp(earliest, latest)),
+            None => Some(latest),
+        }
+    }
+
+    /// How many members a list of so many bytes may hold; none where it may not go.
+    pub fn members_in_feed(&mut self, now: Micros, bytes: usize) -> Option<usize> {
+        if self.budget.wait(now, TrafficClass::Log, bytes) == Some(0) {
+            return Some(usize::MAX);
+        }
+        let short = self.budget.wait(now, TrafficClass::Membership, FEW_MEMBERS_BYTES);
+        (short == Some(0)).then_some(FEW_MEMBERS)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/peers/membership/pacing/tests.rs
@@ -0,0 +1,46 @@
+use super::*;
+
+const SECOND: Micros = 1_000_000;
+
+#[test]
+fn what_may_wait_keeps_any_five_seconds_within_the_bound() {
+    let mut pacing = Pacing::new(0);
+    let mut sent = Vec::new();
+    for tick in 0..2_000u64 {
+        let now = tick * SECOND / 100;
+        // A quiet time first saves up, a storm of requests follows.
+        if now > 8 * SECOND && pacing.try_take(now, Pace::Answer, 1_000) {
+            sent.push((now, 1_000));
+        }
+    }
+    for &(from, _) in &sent {
+        let within = sent.iter().filter(|(at, _)| (from..from + 5 * SECOND).contains(at));
+        let bytes: usize = within.map(|(_, bytes)| bytes).sum();
+        assert!(bytes <= 40_000, "{bytes} bytes in 5 s");
+    }
+    assert!(sent.len() > 70, "{}", sent.len());
+}
+
+#[test]
+fn comparisons_wait_before_gossip_and_gossip_before_answers() {
+    let mut pacing = Pacing::new(0);
+    while pacing.try_take(0, Pace::Comparison, 100) {}
+    assert_eq!(pacing.gossip_wait(0, 1, 10), None);
+    while pacing.gossip_wait(0, 1, 10).is_none() {
+        pacing.take(0, 480);
+    }
+    assert!(pacing.try_take(0, Pace::Answer, 100));
+    assert!(pacing.gossip_wait(0, 1, 10) >= Some(GOSSIP_WAITS.0));
+    assert_eq!(pacing.gossip_wait(0, 1, 0), None, "without news nothing is sent");
+}
+
+#[test]
+fn lists_become_short_and_then_end_while_bytes_lack() {
+    let mut pacing = Pacing::new(0);
+    assert_eq!(pacing.members_in_feed(0, 1_200), Some(usize::MAX));
+    pacing.take(0, 6_500);
+    assert_eq!(pacing.members_in_feed(0, 1_200), Some(FEW_MEMBERS));
+    pacing.take(0, 1_000);
+    assert_eq!(pacing.members_in_feed(0, 1_200), None);
+    assert_eq!(pacing.members_in_feed(2 * SECOND, 1_200), Some(usize::MAX));
+}
--- a/src/peers/membership/settings.rs
+++ b/src/peers/membership/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::count::CountRules;
+use super::gossip::GossipPlan;
 use crate::peers::envelope;
 
 /// With more than this part of its nodes suspected, a node trusts its own eyes less: suspects have longer to speak up, as
@@ -50,27 +51,26 @@
 
 impl PeersConfig {
     /// The engine's settings in a cluster of so many.
-    pub(super) fn engine(&self, peers: usize, suspects: usize) -> foca::Config {
+    pub(super) fn engine(&self, peers: usize, suspects: usize, gossip: GossipPlan) -> foca::Config {
         // Rounds until all have heard grow with the logarithm of their number (SWIM, section 4.1).
         let rounds = (peers.max(2) as f64).log10().max(1.0);
         let many = suspects as f64 > MANY_SUSPECTS * peers as f64;
         let patience = if many { MANY_SUSPECTS_PATIENCE } else { 1.0 };
         let suspect_for = self.probe_every.mul_f64(self.suspicion * rounds * patience);
-        let transmissions = (3.0 * (peers.max(2) as f64).log2().max(2.0)).min(64.0) as u8;
         foca::Config {
             probe_period: self.probe_every,
             probe_rtt: self.probe_timeout,
             num_indirect_probes: number(3),
-            max_transmissions: NonZeroU8::new(transmissions).unwrap_or(NonZeroU8::MIN),
+            max_transmissions: NonZeroU8::new(gossip.copies).unwrap_or(NonZeroU8::MIN),
             suspect_to_down_after: suspect_for,
             remove_down_after: Some(Duration::from_secs(600)),
             max_packet_size: number(LARGEST_PAYLOAD),
             notify_down_members: true,
-            // What was lost on the way is repaired by whole lists, from one peer at a time.
-            periodic_announce: periodic(Duration::from_secs(5), 1),
+            // What was lost on the way is repaired by comparison, not by lists.
+            periodic_announce: None,
             // What was cut off is looked for.
             periodic_announce_to_down_members: periodic(Duration::from_secs(2), 3),
-            periodic_gossip: periodic(self.probe_every / 2, 3),
+            periodic_gossip: periodic(self.probe_every / 2, gossip.fan_out),
         }
     }
 }
--- a/src/peers/membership/tests.rs
+++ b/src/peers/membership/tests.rs
@@ -37,14 +37,12 @@
 fn extensions_travel_alone_and_tell_their_senders_digest() {
     let [mut one, two] = pair();
     let mut out = Vec::new();
-    assert!(two.send_extensions(address(1), vec![Extension::Dissemination(vec![7])], &mut out));
+    let sent = Extension::Dissemination(vec![7]);
+    assert!(two.send_extensions(address(1), vec![sent.clone()], &mut out));
     let (to, data) = datagrams(&mut out).remove(0);
     let mut envelope = Envelope::decode(&data).unwrap();
-    assert_eq!(
-        (to, envelope.payload, envelope.sender()),
-        (address(1), &[][..], Some(LifeId::from(two.me())))
-    );
-    assert_eq!(envelope.extensions()[1..], [Extension::Dissemination(vec![7])]);
+    assert_eq!((to, envelope.payload), (address(1), &[][..]));
+    assert_eq!(envelope.extensions(), [Extension::Sender(LifeId::from(two.me())), sent]);
     envelope.digest = 99;
     assert_eq!(one.receive(1, &envelope, &mut out), Ok(()));
     assert_eq!(one.view(1).differing.get(&99), Some(&vec![address(2)]));
