--- a/lab/src/commands/mod.rs
+++ b/lab/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub mod hollow;
 pub mod measure;
 pub mod membership;
+pub mod scale;
 pub mod slopes;
 
 /// A name that the command line gave and that is not known.
