--- a/lab/src/cluster/mod.rs
+++ b/lab/src/cluster/mod.rs
@@ -5,7 +5,7 @@
 mod processor;
 mod record;
 mod simulated;
-mod topology;
+pub mod topology;
 mod traffic;
 
 pub use links::LinkConditions;
--- a/lab/src/cluster/topology.rs
+++ b/lab/src/cluster/topology.rs
@@ -16,7 +16,7 @@
 /// What the way to another zone of the region takes beside that.
 const BETWEEN_ZONES_US: Micros = 1_000;
 /// What the way to another region takes beside that, one way, in milliseconds: 20 to the next, 200 to the farthest.
-const BETWEEN_REGIONS_MS: [[Micros; REGIONS]; REGIONS] = [
+pub const BETWEEN_REGIONS_MS: [[Micros; REGIONS]; REGIONS] = [
     [0, 20, 40, 70, 100, 130, 160, 200],
     [20, 0, 20, 50, 80, 110, 150, 180],
     [40, 20, 0, 30, 60, 100, 130, 160],
--- a/lab/src/hollow/figures.rs
+++ b/lab/src/hollow/figures.rs
@@ -23,7 +23,7 @@
         "rest_peak_bytes",
         "bytes a second of the node that sent most, over its largest 5 s, while nothing happened",
     ),
-    ("rest_datagrams", "datagrams a second a node over the whole run"),
+    ("datagrams", "datagrams a second a node over the whole run"),
     ("core_fraction", "part of a core that a node takes while nothing happens: its process's over its nodes"),
     ("core_fraction_peak", "the same over the phase in which it was largest"),
     ("memory_bytes", "memory a node at the most: its process's growth over its nodes"),
@@ -103,7 +103,7 @@
     figures.set("dropped", nodes.iter().map(|node| node.dropped as f64).sum());
     let datagrams: f64 = nodes.iter().map(|node| node.datagrams as f64).sum();
     let seconds = schedule.end as f64 / SECOND as f64;
-    figures.set("rest_datagrams", datagrams / seconds.max(1.0) / told.nodes.max(1) as f64);
+    figures.set("datagrams", datagrams / seconds.max(1.0) / told.nodes.max(1) as f64);
     let sum = |of: fn(&Report) -> u64| told.reports.iter().map(|report| of(report) as f64).sum::<f64>();
     figures.set("lost_part", sum(|report| report.lost) / datagrams.max(1.0));
     figures.set("queue_full", sum(|report| report.queue_full));
--- a/lab/src/hollow/node.rs
+++ b/lab/src/hollow/node.rs
@@ -214,7 +214,7 @@
             salt: self.lives,
             observer: false,
             name: name(self.seen.node),
-            more: Vec::new(),
+            more: self.place.location().encode(),
         };
         self.peers = Some(Peers::new(configuration(begin), me, draw, now));
     }
--- a/lab/src/hollow/run.rs
+++ b/lab/src/hollow/run.rs
@@ -210,6 +210,7 @@
         lab: options.lab.clone(),
         folder: options.folder.clone(),
         lateness: plan.hollow.lateness,
+        location: plan.hollow.map.place(0).location(),
     };
     let nodes = plan.hollow.complete;
     let started =
--- a/lab/src/real/mod.rs
+++ b/lab/src/real/mod.rs
@@ -30,6 +30,7 @@
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{interval, sleep_until, timeout_at, Instant};
+use walkpick::peers::Location;
 
 /// All nodes have this long to be ready.
 const READY: Duration = Duration::from_secs(30);
@@ -97,6 +98,8 @@
 pub struct Company {
     /// Where they are reached.
     pub seeds: Vec<SocketAddr>,
+    /// Where the nodes run, as they tell their peers.
+    pub location: Location,
     /// Is told where the nodes are, before they start.
     pub nodes: mpsc::Sender<Vec<Reached>>,
 }
--- a/lab/src/real/nodes.rs
+++ b/lab/src/real/nodes.rs
@@ -151,6 +151,10 @@
             "listen": meets.address.address().to_string(), "advertise": meets.advertise.to_string(),
             "seeds": seeds.collect::<Vec<_>>(), "cluster": "lab",
         }, "log": {"format": "json"}});
+        if let Some(company) = &lab.options.company {
+            config["walkpick"]["peers"]["region"] = company.location.region.clone().into();
+            config["walkpick"]["peers"]["zone"] = company.location.zone.clone().into();
+        }
     }
     config
 }
