--- a/lab/src/commands/hollow.rs
+++ b/lab/src/commands/hollow.rs
@@ -30,7 +30,10 @@
     /// Parts of the datagrams that are lost
     #[arg(long, value_delimiter = ',', default_value = "0")]
     loss: Vec<f64>,
-    /// Nodes have so many seconds to meet
+    /// Over so many seconds nodes start
+    #[arg(long, default_value_t = 10.0)]
+    start: f64,
+    /// Nodes have so many seconds to meet, from the first start on
     #[arg(long, default_value_t = 20.0)]
     meet: f64,
     /// End as soon as they have met
@@ -124,6 +127,7 @@
             processes: self.processes,
             complete: self.complete,
             loss: self.loss.clone(),
+            start: Duration::try_from_secs_f64(self.start)?,
             meet: Duration::try_from_secs_f64(self.meet)?,
             end_when_met: self.until_met,
             rest: Duration::try_from_secs_f64(self.seconds)?,
--- a/lab/src/hollow/settings.rs
+++ b/lab/src/hollow/settings.rs
@@ -70,7 +70,7 @@
             processes: MOST_PROCESSES,
             complete: 0,
             loss: vec![0.0],
-            start: ms(2_000),
+            start: ms(10_000),
             meet: ms(20_000),
             end_when_met: false,
             rest: ms(30_000),
--- a/lab/tests/hollow.rs
+++ b/lab/tests/hollow.rs
@@ -95,10 +95,11 @@
 fn twenty_nodes_in_two_processes_meet_and_write_what_they_measured() {
     let folder = Folder::new("meet");
     let (json, series) = (folder.path("out.json"), folder.path("series.json"));
-    let output = hollow(&["--nodes", "20", "--processes", "2", "--loss", "0.05", "--meet", "100"])
-        .args(["--until-met", "--lateness", "1h", "--json", &json, "--series", &series])
-        .output()
-        .unwrap();
+    let output =
+        hollow(&["--nodes", "20", "--processes", "2", "--loss", "0.05", "--start", "1", "--meet", "100"])
+            .args(["--until-met", "--lateness", "1h", "--json", &json, "--series", &series])
+            .output()
+            .unwrap();
     assert_eq!(output.status.code(), Some(0), "{}", text(&output));
     let run = &folder.json("out.json")["runs"][0];
     assert!(run["figures"]["met_s"].as_f64().is_some_and(|met| met > 0.0), "{run}");
@@ -117,10 +118,11 @@
 fn a_lab_that_is_late_makes_its_run_void_and_says_so() {
     let folder = Folder::new("late");
     let series = folder.path("series.json");
-    let output = hollow(&["--nodes", "4", "--processes", "2", "--meet", "100", "--until-met"])
-        .args(["--lateness", "1us", "--series", &series])
-        .output()
-        .unwrap();
+    let output =
+        hollow(&["--nodes", "4", "--processes", "2", "--start", "1", "--meet", "100", "--until-met"])
+            .args(["--lateness", "1us", "--series", &series])
+            .output()
+            .unwrap();
     let said = text(&output);
     assert_eq!(output.status.code(), Some(1), "{said}");
     assert!(said.contains("void: the lab was late"), "{said}");
