Capacity: how many bytes a whole list of members takes, by the node's own encoding

A first series of the slopes file that needs no sockets and no load: `walkpick-lab slopes encoded`. The row says what telling a whole list once takes of control's bytes; datagrams' headers have a row of their own.

--- a/lab/src/capacity/figures.rs
+++ b/lab/src/capacity/figures.rs
@@ -4,8 +4,11 @@
 
 /// A whole number with commas.
 pub fn count(value: f64) -> String {
-    let digits = format!("{:.0}", value.round());
+    let digits = format!("{:.0}", value.abs().round());
     let mut grouped = String::new();
+    if value <= -0.5 {
+        grouped.push('-');
+    }
     for (i, digit) in digits.chars().enumerate() {
         let left = digits.len() - i;
         if i > 0 && left % 3 == 0 {
--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -2,6 +2,7 @@
 
 mod cases;
 mod demand;
+mod encoded;
 mod figures;
 mod page;
 mod plan;
@@ -12,6 +13,7 @@
 mod values;
 
 pub use cases::Case;
+pub use encoded::encoded_sizes;
 pub use figures::number;
 pub use page::{check, write, PageError};
 pub use plan::{Plan, PlanError, PlanFault};
--- a/lab/src/capacity/rows/control.rs
+++ b/lab/src/capacity/rows/control.rs
@@ -8,11 +8,23 @@
 const BYTES: &str = "the plan, all of control";
 const CORE: &str = "the plan, all of control";
 const MEMORY: &str = "the smaller of plan and smallest node";
+/// Headers of UDP and of IP, version 4: budgets and series count datagrams without them.
+const HEADERS: f64 = 28.0;
+/// The largest datagram between peers.
+const DATAGRAM: f64 = walkpick::peers::LARGEST as f64;
 const LOG_TIME: &str = "dissemination.seconds_to_all.log";
 const STATE_TIME: &str = "dissemination.seconds_to_all.state";
 
 pub(super) fn rows() -> Vec<Row> {
-    vec![membership(), purges(), configuration(), values_in_force(), together(), together_hollow()]
+    vec![
+        membership(),
+        whole_list(),
+        purges(),
+        configuration(),
+        values_in_force(),
+        together(),
+        together_hollow(),
+    ]
 }
 
 fn row(name: &'static str, state: fn(&Plan) -> String, mechanism: Mechanism, needs: Vec<Need>) -> Row {
@@ -45,6 +57,14 @@
             })
             .called("datagrams at rest"),
             bytes(membership_bytes).called("largest 5 s mean"),
+            need(Resource::Bytes, |context| match context.case {
+                Case::OrdinaryDay | Case::Peak => {
+                    let sent = context.largest("membership.datagrams_per_second.rest", Resource::Messages)?;
+                    Ok(sent.times(HEADERS))
+                }
+                _ => Err(Gap::NotApplicable),
+            })
+            .called("headers of UDP and IP beside it"),
             cores(membership_cores),
             memory(membership_memory),
             need(Resource::Seconds, |context| {
@@ -59,6 +79,23 @@
     )
 }
 
+fn whole_list() -> Row {
+    row(
+        "membership, a whole list told once",
+        |plan| format!("{} identities, in datagrams of at most {} B", count(plan.nodes), count(DATAGRAM)),
+        Mechanism::Modules("src/peers/"),
+        vec![
+            need(Resource::Memory, |context| context.mean("membership.list_bytes", Resource::Memory))
+                .called("bytes of a list"),
+            need(Resource::Seconds, |context| {
+                let list = context.mean("membership.list_bytes", Resource::Memory)?;
+                Ok(list.times(1.0 / demand::control_bytes_budget(context.plan)))
+            })
+            .called("at the whole budget"),
+        ],
+    )
+}
+
 fn purges() -> Row {
     row(
         "purges, to every node in order",
--- a/lab/src/capacity/tests.rs
+++ b/lab/src/capacity/tests.rs
@@ -3,7 +3,7 @@
 use super::rows::Mechanism;
 use super::solve::over_budget;
 use super::*;
-use crate::slopes::{Method, Point, Recorded, Series, SlopesFile, Stamp};
+use crate::slopes::{Fit, Method, Point, Recorded, Series, Shape, SlopesFile, Stamp, Verdict};
 use std::path::{Path, PathBuf};
 
 const SHIPPED: &str = include_str!("../../../deploy/plans/fleet-ahead.toml");
@@ -260,6 +260,35 @@
     }
 }
 
+#[test]
+fn numbers_are_written_with_three_figures_or_so() {
+    let written =
+        [0.0, 0.018_52, 0.000_04, 0.69, 6.863, 12.34, 755.3, -268.4, 40_909_090.9, 500.0].map(number);
+    assert_eq!(
+        written,
+        ["0", "0.0185", "4.0e-5", "0.69", "6.86", "12.3", "755", "-268", "40,909,091", "500"]
+    );
+    let amounts = [
+        figures::amount(Resource::Bytes, 9_400.0),
+        figures::amount(Resource::Bytes, 16_000.0),
+        figures::amount(Resource::Memory, 2.16e9),
+        figures::amount(Resource::Processor, 0.043),
+        figures::amount(Resource::Seconds, 2.4),
+        figures::amount(Resource::Connections, 1_800.0),
+    ];
+    assert_eq!(amounts, ["9,400 B/s", "16 KB/s", "2.16 GB", "4.3%", "2.4 s", "1,800"]);
+}
+
+#[test]
+fn a_list_of_members_takes_the_same_bytes_for_each() {
+    let series = encoded_sizes("x").unwrap();
+    let fit = Fit::of(&series[0].points).unwrap();
+    assert_eq!((fit.shape, fit.verdict, fit.sizes), (Shape::Linear, Verdict::Straight, 6));
+    // Address 7, order 8, salt up to 5, observer 1, name up to 6, an empty rest 1.
+    assert!((20.0..=29.0).contains(&fit.slope), "{fit:?}");
+    assert_eq!(series, encoded_sizes("x").unwrap(), "the same seed gives the same bytes");
+}
+
 struct Page(PathBuf);
 
 impl Page {
--- a/lab/src/commands/slopes.rs
+++ b/lab/src/commands/slopes.rs
@@ -1,7 +1,7 @@
 //! `walkpick-lab slopes`: takes measured series into the slopes file, and shows what it holds.
 
-use crate::capacity::number;
-use crate::slopes::{read_series, Recorded, SlopesError, SlopesFile, Stamp};
+use crate::capacity::{encoded_sizes, number};
+use crate::slopes::{read_series, write_series, Recorded, SlopesError, SlopesFile, Stamp};
 use clap::{Args, Subcommand};
 use std::error::Error;
 use std::io::{self, Write};
@@ -11,6 +11,7 @@
 
 /// What moves measured costs: a change here that is not committed is said beside the commit.
 const SOURCES: [&str; 4] = ["src", "lab/src", "Cargo.toml", "Cargo.lock"];
+const ENCODED: &str = "walkpick-lab slopes encoded --json encoded.json";
 const UNKNOWN_COMMIT: &str = "unknown";
 
 /// The arguments.
@@ -34,6 +35,12 @@
         #[arg(required = true)]
         files: Vec<PathBuf>,
     },
+    /// Measure how many bytes nodes' messages take, by encoding them
+    Encoded {
+        /// Where to write the series
+        #[arg(long)]
+        json: PathBuf,
+    },
     /// Show each series with its fit
     Show {
         /// The slopes file
@@ -46,6 +53,7 @@
 pub fn run(args: &SlopesArgs) -> Result<bool, Box<dyn Error>> {
     match &args.doing {
         Doing::Add { to, commit, files } => add(to, commit.as_deref(), files)?,
+        Doing::Encoded { json } => write_series(json, &encoded_sizes(ENCODED)?)?,
         Doing::Show { file } => show(&SlopesFile::load(file)?)?,
     }
     Ok(true)
