--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,16 +2,16 @@
 //! time, and real nodes on loopback sockets), faults on a schedule, and judges. The program is `walkpick-lab`.
 
 pub mod capacity;
+pub mod cluster;
 pub mod commands;
 pub mod draw;
 pub mod experiment;
+pub mod hollow;
 pub mod judge;
-pub mod membership;
 pub mod model;
 pub mod plan;
 pub mod policies;
 pub mod real;
 pub mod report;
 pub mod slopes;
-pub mod swarm;
 pub mod world;
