--- a/lab/src/commands/mod.rs
+++ b/lab/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod capacity;
 pub mod hollow;
+pub mod measure;
 pub mod membership;
 pub mod slopes;
 
