--- a/lab/src/capacity/tests.rs
+++ b/lab/src/capacity/tests.rs
@@ -326,9 +326,9 @@
 
 #[test]
 fn a_page_without_its_markers_is_refused() {
-    for (name, text) in
-        [("none", "prose\n"), ("turned", &EMPTY.replace("begin", "x").replace("end", "begin"))]
-    {
+    let turned = EMPTY.replace("begin", "then").replace("end -->", "begin -->").replace("then", "end");
+    let twice = EMPTY.repeat(2);
+    for (name, text) in [("none", "prose\n"), ("turned", turned.as_str()), ("twice", twice.as_str())] {
         let page = Page::new(name, text);
         assert!(matches!(check(&page.0, &[]), Err(PageError::NoMarkers { .. })), "{name}");
         assert!(write(&page.0, &[]).is_err());
