Measure discovery's lists, changes and resting watches with a real node

`walkpick-lab measure discovery` puts the node's program beside a stand-in agent that writes its answers itself and so knows each byte; the time of a list runs until the node calls again. What many watches ask together is arithmetic from one.

--- a/lab/src/commands/measure.rs
+++ b/lab/src/commands/measure.rs
@@ -4,14 +4,17 @@
 use std::error::Error;
 use std::io::{self, Write};
 use std::path::PathBuf;
+use std::time::Duration;
 use walkpick_lab::measure::series::Series;
-use walkpick_lab::measure::{decisions, memory_child, trials, MeasureError, Programs};
+use walkpick_lab::measure::{decisions, discovery, memory_child, trials, MeasureError, Programs};
 
 /// What can be measured.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 pub enum What {
     /// Time and memory of the decisions, in process
     Decisions,
+    /// Lists, changes and resting watches, with a real node
+    Discovery,
     /// What all nodes ask of one server in trouble, in simulated time
     Trials,
 }
@@ -74,6 +77,16 @@
             };
             decisions::measure(&effort, &programs)
         }
+        What::Discovery => {
+            let quick = || discovery::Effort {
+                servers: vec![1, 2, 4, 8],
+                lists: 2,
+                rest: Duration::ZERO,
+                ..discovery::Effort::default()
+            };
+            let effort = if args.quick { quick() } else { discovery::Effort::default() };
+            discovery::measure(&effort, &programs)
+        }
         What::Trials => {
             let quick = || trials::Effort {
                 nodes: vec![10, 20, 40, 80],
--- a/lab/src/measure/mod.rs
+++ b/lab/src/measure/mod.rs
@@ -2,8 +2,10 @@
 //! size, one point for each play.
 
 pub mod decisions;
+pub mod discovery;
 pub mod memory_child;
 pub mod series;
+pub mod stage;
 pub mod trials;
 
 use crate::real::process::ProcessError;
--- /dev/null
+++ b/lab/src/measure/stage/clients.rs
@@ -0,0 +1,181 @@
+//! Clients that send at an even rate over kept connections, and those that only stand there.
+
+use super::super::MeasureError;
+use super::{LOOK, PATIENCE};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Bytes;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::{spawn_local, JoinHandle};
+use tokio::time::{sleep_until, timeout, Instant};
+
+/// The class of all requests.
+pub const CLASS: &str = "read";
+/// Objects that are asked for.
+const KEYS: u64 = 1_000;
+/// Clients wait for so long.
+const DEADLINE_MS: u64 = 8_000;
+/// A client that sends at an even rate sends so many a second at the most.
+const RATE_OF_ONE: f64 = 25.0;
+/// The least number of clients, so that their requests come spread out.
+const FEWEST: usize = 8;
+
+/// What came of a load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Answers {
+    /// Answered with 200.
+    pub served: u64,
+    /// Answered with a status for a refusal.
+    pub refused: u64,
+    /// Answered otherwise, or not at all.
+    pub failed: u64,
+}
+
+impl Answers {
+    /// All that were asked.
+    pub fn asked(&self) -> u64 {
+        self.served + self.refused + self.failed
+    }
+}
+
+/// A connection of a client.
+#[derive(Debug)]
+pub struct Client {
+    sender: SendRequest<Empty<Bytes>>,
+    target: SocketAddr,
+}
+
+impl Client {
+    /// Connects.
+    pub async fn connect(target: SocketAddr) -> Result<Self, MeasureError> {
+        let failed = MeasureError::machine("a client's connection");
+        let stream = TcpStream::connect(target).await.map_err(&failed)?;
+        stream.set_nodelay(true).map_err(&failed)?;
+        let shaken = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = shaken.map_err(|error| failed(std::io::Error::other(error)))?;
+        // How it breaks shows at the request.
+        spawn_local(async { drop(connection.await) });
+        Ok(Self { sender, target })
+    }
+
+    /// Asks once. `None`: the connection broke.
+    pub async fn ask(&mut self, path: &str, id: &str) -> Option<StatusCode> {
+        self.sender.ready().await.ok()?;
+        let request = Request::get(path)
+            .header("host", self.target.to_string())
+            .header("req-id", id)
+            .header("req-kind", CLASS)
+            .header("req-deadline-ms", DEADLINE_MS)
+            .body(Empty::new())
+            .ok()?;
+        let response = self.sender.send_request(request).await.ok()?;
+        let status = response.status();
+        response.into_body().collect().await.ok()?;
+        Some(status)
+    }
+
+    /// Asks for an object that its number stands for.
+    pub async fn ask_numbered(&mut self, number: u64) -> Option<StatusCode> {
+        let key = number.wrapping_mul(0x9e37_79b9_7f4a_7c15) % KEYS;
+        self.ask(&format!("/api/{key:016x}"), &format!("q{number}")).await
+    }
+}
+
+/// Whether a node says that it is ready.
+pub async fn healthy(node: SocketAddr) -> bool {
+    let asking = async {
+        let mut client = Client::connect(node).await.ok()?;
+        client.ask("/healthz", "health").await
+    };
+    timeout(Duration::from_millis(500), asking).await.is_ok_and(|said| said == Some(StatusCode::OK))
+}
+
+/// Clients under way at an even rate.
+pub struct Load {
+    workers: Vec<JoinHandle<Answers>>,
+    stop: Rc<Cell<bool>>,
+}
+
+impl Load {
+    /// Begins. Numbers of requests start at `first`, and are never used twice where that is at least a million more.
+    pub async fn begin(target: SocketAddr, rate: f64, first: u64) -> Result<Self, MeasureError> {
+        let count = ((rate / RATE_OF_ONE).ceil() as usize).max(FEWEST);
+        let between = Duration::from_secs_f64(count as f64 / rate);
+        let stop = Rc::new(Cell::new(false));
+        let (mut workers, start) = (Vec::with_capacity(count), Instant::now());
+        for place in 0..count {
+            let client = Client::connect(target).await?;
+            let begins = start + between.mul_f64(place as f64 / count as f64);
+            let numbers = Numbers { next: first + place as u64, step: count as u64 };
+            workers.push(spawn_local(work(client, begins, between, numbers, Rc::clone(&stop))));
+        }
+        Ok(Self { workers, stop })
+    }
+
+    /// Ends, and says what came of it.
+    pub async fn end(self) -> Answers {
+        self.stop.set(true);
+        let mut all = Answers::default();
+        for worker in self.workers {
+            let answers = worker.await.unwrap_or_default();
+            all.served += answers.served;
+            all.refused += answers.refused;
+            all.failed += answers.failed;
+        }
+        all
+    }
+}
+
+struct Numbers {
+    next: u64,
+    step: u64,
+}
+
+async fn work(
+    mut client: Client,
+    begins: Instant,
+    between: Duration,
+    mut numbers: Numbers,
+    stop: Rc<Cell<bool>>,
+) -> Answers {
+    let (mut answers, mut due) = (Answers::default(), begins);
+    while !stop.get() {
+        sleep_until(due).await;
+        due += between;
+        match client.ask_numbered(numbers.next).await {
+            Some(StatusCode::OK) => answers.served += 1,
+            Some(StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) => answers.refused += 1,
+            Some(_) => answers.failed += 1,
+            None => {
+                answers.failed += 1;
+                match Client::connect(client.target).await {
+                    Ok(anew) => client = anew,
+                    Err(_) => return answers,
+                }
+            }
+        }
+        numbers.next += numbers.step;
+    }
+    answers
+}
+
+/// Clients that have asked once, and keep their connections.
+pub async fn idle(target: SocketAddr, count: usize, first: u64) -> Result<Vec<Client>, MeasureError> {
+    let mut clients = Vec::with_capacity(count);
+    for place in 0..count {
+        let mut client = Client::connect(target).await?;
+        let asked = timeout(PATIENCE, client.ask_numbered(first + place as u64)).await;
+        if !matches!(asked, Ok(Some(_))) {
+            return Err(MeasureError::Late("an idle client's answer"));
+        }
+        clients.push(client);
+    }
+    tokio::time::sleep(LOOK).await;
+    Ok(clients)
+}
--- /dev/null
+++ b/lab/src/measure/stage/usage.rs
@@ -0,0 +1,16 @@
+//! What a process has used, as the system counts it.
+
+use procfs::process::Process;
+
+/// Seconds of processor time, to the microsecond, of all threads of a process.
+pub fn processor_seconds(process: i32) -> f64 {
+    let tasks = Process::new(process).and_then(|process| process.tasks());
+    let times = tasks.into_iter().flatten().filter_map(|task| task.ok()?.schedstat().ok());
+    times.map(|times| times.sum_exec_runtime as f64 / 1e9).sum()
+}
+
+/// Bytes of memory that a process holds now.
+pub fn resident_bytes(process: i32) -> f64 {
+    let status = Process::new(process).and_then(|process| process.status());
+    status.ok().and_then(|status| status.vmrss).unwrap_or(0) as f64 * 1_024.0
+}
--- a/lab/src/real/process.rs
+++ b/lab/src/real/process.rs
@@ -111,6 +111,11 @@
         Ok(Self { child, pid, log: log.to_owned() })
     }
 
+    /// Its id; `None` where the system gave none.
+    pub fn id(&self) -> Option<i32> {
+        self.pid.map(Pid::as_raw)
+    }
+
     /// Sends it a signal. One that has ended gets none.
     pub fn signal(&self, signal: Signal) {
         if let (Some(_), Some(pid)) = (self.child.id(), self.pid) {
--- a/lab/tests/measure.rs
+++ b/lab/tests/measure.rs
@@ -81,3 +81,24 @@
     // Simulated time: the same seeds give the same series.
     assert_eq!(all, measure("trials"));
 }
+
+#[test]
+fn discovery_is_measured_against_servers_and_watches() {
+    let all = measure("discovery");
+    let expected = [
+        "discovery.list_bytes",
+        "discovery.list_seconds",
+        "discovery.change_bytes",
+        "discovery.watch_calls_per_second",
+        "discovery.watch_bytes_per_second",
+    ];
+    assert_complete(&all, "real", "discovery", &expected);
+    expected.iter().for_each(|name| assert_positive(named(&all, name)));
+    // An entry more is as many bytes more, but for the digits of lengths and names.
+    let bytes = points(named(&all, "discovery.list_bytes"));
+    let (first, last) = (bytes[0], bytes[bytes.len() - 1]);
+    let entry = (last.1 - first.1) / (last.0 - first.0);
+    assert!((100.0..150.0).contains(&entry), "{bytes:?}");
+    let changes = points(named(&all, "discovery.change_bytes"));
+    assert!(changes.iter().all(|(_, value)| *value == changes[0].1), "one entry, whatever else there is");
+}
