Measure the request path beside a bare relay, and a node's log in losses

`walkpick-lab measure request-path` puts the node's program and a relay of the lab's, a bare hyper server and client, under the same load in the same run, and reads the processes' times and memory from /proc. `walkpick-lab measure log` lets a zone of servers or a number of peers fall silent. Clients of a load connect before it is measured.

--- a/lab/src/commands/measure.rs
+++ b/lab/src/commands/measure.rs
@@ -3,10 +3,13 @@
 use clap::{Args, Subcommand, ValueEnum};
 use std::error::Error;
 use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 use walkpick_lab::measure::series::Series;
-use walkpick_lab::measure::{decisions, discovery, memory_child, trials, MeasureError, Programs};
+use walkpick_lab::measure::{
+    decisions, discovery, log, memory_child, relay, request_path, trials, MeasureError, Programs,
+};
 
 /// What can be measured.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
@@ -15,6 +18,10 @@
     Decisions,
     /// Lists, changes and resting watches, with a real node
     Discovery,
+    /// What a node logs, in calm and in a loss
+    Log,
+    /// What requests, connections and refusals cost a real node, beside a bare relay
+    RequestPath,
     /// What all nodes ask of one server in trouble, in simulated time
     Trials,
 }
@@ -53,6 +60,11 @@
         #[arg(long)]
         seed: u64,
     },
+    /// Relay requests to these servers in turn
+    Relay {
+        /// The servers
+        targets: Vec<SocketAddr>,
+    },
 }
 
 /// Measures, prints a table, and writes the series where it is told to.
@@ -87,6 +99,34 @@
             let effort = if args.quick { quick() } else { discovery::Effort::default() };
             discovery::measure(&effort, &programs)
         }
+        What::Log => {
+            let quick = || log::Effort {
+                servers: 12,
+                servers_lost: vec![1, 2, 3, 4],
+                peers_lost: vec![1, 2, 3, 4],
+                peers_kept: 1,
+                rate: 100.0,
+                settle: Duration::ZERO,
+                seconds: 4,
+                ..log::Effort::default()
+            };
+            log::measure(&if args.quick { quick() } else { log::Effort::default() }, &programs)
+        }
+        What::RequestPath => {
+            let quick = || request_path::Effort {
+                rates: vec![100.0, 150.0, 200.0, 250.0],
+                answers_rate: 200.0,
+                refusals: vec![100.0, 150.0, 200.0, 250.0],
+                connections: vec![20, 40, 60, 80],
+                in_flight: vec![20, 40, 60, 80],
+                length: Duration::from_millis(100),
+                settle: Duration::from_millis(10),
+                seeds: 1,
+                ..request_path::Effort::default()
+            };
+            let effort = if args.quick { quick() } else { request_path::Effort::default() };
+            request_path::measure(&effort, &programs)
+        }
         What::Trials => {
             let quick = || trials::Effort {
                 nodes: vec![10, 20, 40, 80],
@@ -122,10 +162,14 @@
 
 /// What a child of `measure` does.
 pub fn child(child: &Child) -> Result<bool, Box<dyn Error>> {
-    match *child {
-        Child::Memory { servers, held, requests, seed } => {
+    match child {
+        &Child::Memory { servers, held, requests, seed } => {
             println!("{}", memory_child::answer(&memory_child::Asked { servers, held, requests, seed }));
             Ok(true)
         }
+        Child::Relay { targets } => {
+            relay::serve(targets)?;
+            Ok(true)
+        }
     }
 }
--- a/lab/src/measure/mod.rs
+++ b/lab/src/measure/mod.rs
@@ -3,7 +3,11 @@
 
 pub mod decisions;
 pub mod discovery;
+mod hollow_peers;
+pub mod log;
 pub mod memory_child;
+pub mod relay;
+pub mod request_path;
 pub mod series;
 pub mod stage;
 pub mod trials;
--- a/lab/src/measure/stage/mod.rs
+++ b/lab/src/measure/stage/mod.rs
@@ -145,7 +145,7 @@
     }
 }
 
-/// One class with room in its times: what is measured is the node's own cost, and nothing is to be late.
+/// A class for each manner of clients.
 fn configuration(name: &str, listen: SocketAddr, discovery: SocketAddr, further: Value) -> Value {
     json!({
         "name": name, "listen": listen.to_string(), "discovery": discovery.to_string(),
@@ -153,7 +153,10 @@
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS},
         "settings": {
             "az": "zone-0", "zones": ["zone-0", "zone-1"], "balancers": 1,
-            "lanes": [{"name": clients::CLASS, "effect": "safe", "promise_us": 4_000_000, "hard_limit_us": 10_000_000}],
+            "lanes": [
+                {"name": clients::PATIENT.class, "effect": "safe", "promise_us": 4_000_000, "hard_limit_us": 10_000_000},
+                {"name": clients::QUICK.class, "effect": "safe", "promise_us": 500_000, "hard_limit_us": 1_000_000},
+            ],
             "limits": {"connect_timeout_us": 200_000, "keepalive_us": 15_000_000, "most_tries": 3},
         },
     })
--- a/lab/src/measure/tests/stage.rs
+++ b/lab/src/measure/tests/stage.rs
@@ -1,4 +1,4 @@
-use crate::measure::stage::clients::{idle, Client, Load};
+use crate::measure::stage::clients::{idle, Client, Load, PATIENT};
 use crate::measure::stage::discovery::{host, Discovery, Kind};
 use crate::measure::stage::servers::Servers;
 use crate::measure::stage::wait_for;
@@ -54,7 +54,7 @@
         .run_until(async {
             let servers = Servers::open(2, 10).await.unwrap();
             let target = servers.addresses()[1];
-            let mut client = Client::connect(target).await.unwrap();
+            let mut client = Client::connect(target, PATIENT).await.unwrap();
             assert_eq!(client.ask_numbered(1).await.unwrap(), 200);
             servers.hold();
             let held = spawn_local(async move { client.ask_numbered(2).await });
@@ -64,9 +64,9 @@
             assert_eq!(servers.held(), 0);
             servers.silence(1);
             assert_eq!(idle(target, 3, 10).await.unwrap().len(), 3);
-            let mut silent = Client::connect(servers.addresses()[0]).await.unwrap();
+            let mut silent = Client::connect(servers.addresses()[0], PATIENT).await.unwrap();
             let asked = spawn_local(async move { silent.ask_numbered(3).await });
-            let mut other = Client::connect(target).await.unwrap();
+            let mut other = Client::connect(target, PATIENT).await.unwrap();
             assert_eq!(other.ask_numbered(4).await.unwrap(), 200);
             assert!(!asked.is_finished());
         })
@@ -78,7 +78,7 @@
     LocalSet::new()
         .run_until(async {
             let servers = Servers::open(1, 10).await.unwrap();
-            let load = Load::begin(servers.addresses()[0], 500.0, 0).await.unwrap();
+            let load = Load::begin(servers.addresses()[0], PATIENT, 500.0, 0).await.unwrap();
             tokio::time::sleep(std::time::Duration::from_millis(100)).await;
             let answers = load.end().await;
             assert!(answers.served > 0, "{answers:?}");
--- a/lab/tests/measure.rs
+++ b/lab/tests/measure.rs
@@ -2,8 +2,14 @@
 
 use serde_json::Value;
 use std::collections::BTreeSet;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Command;
+use walkpick_lab::measure::relay::Relay;
+use walkpick_lab::measure::stage::clients::{Client, PATIENT};
+use walkpick_lab::measure::stage::discovery::{host, Discovery};
+use walkpick_lab::measure::stage::servers::Servers;
+use walkpick_lab::measure::stage::{self, Folder, Node};
+use walkpick_lab::measure::{MeasureError, Programs};
 
 const LAB: &str = env!("CARGO_BIN_EXE_walkpick-lab");
 
@@ -102,3 +108,81 @@
     let changes = points(named(&all, "discovery.change_bytes"));
     assert!(changes.iter().all(|(_, value)| *value == changes[0].1), "one entry, whatever else there is");
 }
+
+#[test]
+fn the_request_path_is_measured_beside_a_relay() {
+    let all = measure("request-path");
+    let expected = [
+        "request.processor_seconds_per_request",
+        "request.processor_seconds_by_answer_bytes",
+        "request.processor_ratio_to_relay",
+        "request.memory_per_connection",
+        "request.memory_per_in_flight",
+        "refusal.processor_seconds",
+        "refusal.processor_ratio_to_relay",
+    ];
+    assert_complete(&all, "real", "request-path", &expected);
+    // Memory that was free before may be enough for a few more: only times are above zero in any case.
+    all.iter()
+        .filter(|series| !series["name"].as_str().unwrap().contains("memory"))
+        .for_each(assert_positive);
+}
+
+#[test]
+fn the_log_is_measured_in_calm_and_in_losses() {
+    let all = measure("log");
+    let states = ["calm", "zone_lost", "peers_lost"];
+    let expected: Vec<_> = states.iter().map(|state| format!("log.bytes_per_second.{state}")).collect();
+    let expected: Vec<_> = expected.iter().map(String::as_str).collect();
+    assert_complete(&all, "real", "log", &expected);
+    // Requests to a silent zone end in lines; a peer's loss is one.
+    assert_positive(named(&all, "log.bytes_per_second.zone_lost"));
+    assert_positive(named(&all, "log.bytes_per_second.peers_lost"));
+}
+
+/// Runs on a thread of its own sockets.
+fn block_on<T>(work: impl std::future::Future<Output = Result<T, MeasureError>>) -> T {
+    stage::block_on(work).unwrap()
+}
+
+fn is_there(process: i32) -> bool {
+    std::path::Path::new(&format!("/proc/{process}")).exists()
+}
+
+#[test]
+fn a_node_and_a_relay_serve_and_end_with_whoever_started_them() {
+    let programs = Programs { lab: LAB.into(), node: Path::new(LAB).with_file_name("walkpick") };
+    let (stopped, dropped) = block_on(async {
+        let folder = Folder::new("test-ends")?;
+        let servers = Servers::open(2, 64).await?;
+        let hosts = servers.addresses().iter().enumerate();
+        let hosts = hosts.map(|(place, &address)| host(place, 0, address, "ready")).collect();
+        let discovery = Discovery::open(hosts).await?;
+        let mut processes = Vec::new();
+        for name in ["n1", "n2"] {
+            let node = Node::start(&programs, &folder, name, discovery.address(), serde_json::json!({}))?;
+            node.ready().await?;
+            let relay = Relay::start(&programs, servers.addresses()).await?;
+            for target in [node.address(), relay.address()] {
+                let mut client = Client::connect(target, PATIENT).await?;
+                assert_eq!(client.ask_numbered(1).await.unwrap(), 200);
+            }
+            assert!(is_there(node.id()) && is_there(relay.id()));
+            processes.push((node.id(), relay.id()));
+            if name == "n1" {
+                relay.stop().await;
+                node.stop().await?;
+            }
+        }
+        Ok((processes[0], processes[1]))
+    });
+    assert!(!is_there(stopped.0) && !is_there(stopped.1));
+    // The killed ones are gone once the system has seen to it.
+    let gone = |process: i32| {
+        let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
+        stat.is_empty() || stat.contains(") Z ")
+    };
+    while !(gone(dropped.0) && gone(dropped.1)) {
+        std::thread::sleep(std::time::Duration::from_millis(10));
+    }
+}
