--- a/lab/src/measure/mod.rs
+++ b/lab/src/measure/mod.rs
@@ -2,8 +2,14 @@
 //! size, one point for each play.
 
 pub mod decisions;
+pub mod discovery;
+mod hollow_peers;
+pub mod log;
 pub mod memory_child;
+pub mod relay;
+pub mod request_path;
 pub mod series;
+pub mod stage;
 pub mod trials;
 
 use crate::real::process::ProcessError;
