--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! An emulator of a whole deployment of walkpick: a model of everything around the nodes, two drivers of it (simulated
 //! time, and real nodes on loopback sockets), faults on a schedule, and judges. The program is `walkpick-lab`.
 
+pub mod dissemination;
 pub mod draw;
 pub mod experiment;
 pub mod judge;
--- /dev/null
+++ b/src/peers/dissemination/publishing.rs
@@ -0,0 +1,304 @@
+//! A publisher's own side: issuing entries under an epoch, and saying who has applied them.
+
+use super::super::Micros;
+use super::acknowledgement::LineKey;
+use super::log::{Inserted, Log, RETAINED};
+use super::message::{Entry, Lacking, Line, RefusedBy, Report, LARGEST_PAYLOAD};
+use super::overlay::Branch;
+use super::{Dissemination, DisseminationOutput};
+use std::collections::{BTreeMap, BTreeSet};
+use thiserror::Error;
+
+/// Entries that wait for their acknowledgement: half of what is retained, so that none is given up before all have it.
+const MOST_PENDING: usize = RETAINED / 2;
+/// Nodes that are named when an entry is not acknowledged in time.
+const MOST_NAMED: usize = 64;
+/// Refusals that are remembered as told.
+const MOST_REFUSALS: usize = 4_096;
+
+/// Why an entry can't be published.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum PublishError {
+    /// This node has not opened its log.
+    #[error("not opened for publishing")]
+    NotOpen,
+    /// Another process publishes under a later epoch.
+    #[error("epoch {in_force} is in force")]
+    Fenced {
+        /// The epoch in force.
+        in_force: u64,
+    },
+    /// The payload is longer than entries may be.
+    #[error("a payload of {found} bytes, at most {LARGEST_PAYLOAD} are carried")]
+    TooLarge {
+        /// Its bytes.
+        found: usize,
+    },
+    /// Too many entries wait for their acknowledgement.
+    #[error("{0} entries wait for their acknowledgement already")]
+    Full(usize),
+    /// Sequences begin at 1.
+    #[error("sequences and epochs begin at 1")]
+    ZeroSequence,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    at: Micros,
+    /// Whether it was said who lacks it.
+    named: bool,
+}
+
+/// What a publisher knows of its own.
+#[derive(Debug)]
+pub struct Publishing {
+    epoch: u64,
+    next: u64,
+    versions: BTreeMap<u16, u64>,
+    pending: BTreeMap<(Line, u64), Pending>,
+    refusals: BTreeSet<(u64, u16, u64)>,
+    fenced: Option<u64>,
+}
+
+impl Dissemination {
+    /// Opens this node's log and states under an epoch, later than all before, with the sequence that follows the last one
+    /// ever issued. `record`: entries of earlier epochs that may not have reached all; they are sent again.
+    pub fn open_publisher(
+        &mut self,
+        now: Micros,
+        epoch: u64,
+        first: u64,
+        record: Vec<Entry>,
+        out: &mut Vec<DisseminationOutput>,
+    ) -> Result<(), PublishError> {
+        if first == 0 || epoch == 0 {
+            return Err(PublishError::ZeroSequence);
+        }
+        let publisher = self.me.key;
+        let known = self.logs.get(&publisher).map_or(0, Log::epoch);
+        if known >= epoch {
+            return Err(PublishError::Fenced { in_force: known });
+        }
+        let mut log = self.logs.remove(&publisher).unwrap_or_else(|| Log::new(now, 0, 1, 0, false));
+        if !log.based {
+            let kept = record.iter().map(|entry| entry.sequence).min().unwrap_or(first);
+            log.skip(now, kept.saturating_sub(1));
+        }
+        for entry in record.into_iter().filter(|entry| entry.fits() && entry.sequence < first) {
+            let sequence = entry.sequence;
+            // An entry of the record is good, whatever epoch issued it.
+            let epoch = entry.epoch.max(1);
+            log.adopt(now, epoch, sequence);
+            if log.insert(now, entry) == Inserted::New {
+                for child in self.overlay.branch(publisher).children() {
+                    self.counters.given_up += self.outbox.push_entry(publisher, child.address, sequence);
+                }
+            }
+        }
+        log.adopt(now, epoch, first);
+        self.logs.insert(publisher, log);
+        self.deliver(now, publisher, out);
+        let lacking = self.logs.get(&publisher).map_or(0, |log| log.delivered);
+        if lacking < first - 1 {
+            // Its own record has a hole: nobody else can fill it for the subscriber here.
+            self.skip(now, publisher, first - 1, out);
+        }
+        self.publishing = Some(Publishing {
+            epoch,
+            next: first,
+            versions: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            refusals: BTreeSet::new(),
+            fenced: None,
+        });
+        Ok(())
+    }
+
+    /// Issues the next entry of the log; its sequence. It goes out with the next call of [`Dissemination::timers`], or at
+    /// once by [`Dissemination::flush`].
+    pub fn publish_log(
+        &mut self,
+        now: Micros,
+        kind: u16,
+        schema: u16,
+        payload: Vec<u8>,
+        out: &mut Vec<DisseminationOutput>,
+    ) -> Result<u64, PublishError> {
+        let publisher = self.me.key;
+        let publishing = ready(&mut self.publishing, &payload)?;
+        let (epoch, sequence) = (publishing.epoch, publishing.next);
+        publishing.next += 1;
+        publishing.pending.insert((Line::Log, sequence), Pending { at: now, named: false });
+        let entry = Entry { epoch, sequence, kind, schema, payload, more: Vec::new() };
+        let Some(log) = self.logs.get_mut(&publisher) else { return Err(PublishError::NotOpen) };
+        log.insert(now, entry);
+        for child in self.overlay.branch(publisher).children() {
+            self.counters.given_up += self.outbox.push_entry(publisher, child.address, sequence);
+        }
+        self.deliver(now, publisher, out);
+        Ok(sequence)
+    }
+
+    /// Issues the next version of a state; the version.
+    pub fn publish_state(
+        &mut self,
+        now: Micros,
+        kind: u16,
+        schema: u16,
+        payload: Vec<u8>,
+        out: &mut Vec<DisseminationOutput>,
+    ) -> Result<u64, PublishError> {
+        let publisher = self.me.key;
+        let publishing = ready(&mut self.publishing, &payload)?;
+        let version = publishing.versions.entry(kind).or_insert(0);
+        *version += 1;
+        let (epoch, version) = (publishing.epoch, *version);
+        // A newer version takes the place of those before: nobody needs them any more.
+        publishing.pending.retain(|(line, _), _| *line != Line::State(kind));
+        publishing.pending.insert((Line::State(kind), version), Pending { at: now, named: false });
+        let entry = Entry { epoch, sequence: version, kind, schema, payload, more: Vec::new() };
+        let me = self.me.address;
+        self.take_state(now, me, publisher, &entry, out);
+        Ok(version)
+    }
+
+    /// Whether this node publishes under this key.
+    pub(super) fn publishes(&self, publisher: u64) -> bool {
+        publisher == self.me.key && self.publishing.as_ref().is_some_and(|own| own.fenced.is_none())
+    }
+
+    /// Another one publishes under a later epoch.
+    pub(super) fn fence(&mut self, publisher: u64, epoch: u64, out: &mut Vec<DisseminationOutput>) {
+        if publisher != self.me.key {
+            return;
+        }
+        if let Some(publishing) =
+            self.publishing.as_mut().filter(|own| own.epoch < epoch && own.fenced.is_none())
+        {
+            publishing.fenced = Some(epoch);
+            publishing.pending.clear();
+            out.push(DisseminationOutput::Fenced { epoch });
+        }
+    }
+
+    pub(super) fn look_at_acknowledgements(&mut self, now: Micros, out: &mut Vec<DisseminationOutput>) {
+        let publisher = self.me.key;
+        let within = self.config.acknowledge_within.as_micros() as Micros;
+        let due = self.publishing.as_ref().is_some_and(|own| {
+            own.pending.values().any(|pending| !pending.named && now >= pending.at + within)
+        });
+        let changed = std::mem::take(&mut self.reporting.entry(publisher).or_default().changed);
+        if !due && !changed {
+            return;
+        }
+        for report in self.gather_all(now, publisher) {
+            self.acknowledge(now, &report, out);
+        }
+        if due {
+            self.name_those_that_lack(now, within, out);
+        }
+    }
+
+    fn acknowledge(&mut self, now: Micros, report: &Report, out: &mut Vec<DisseminationOutput>) {
+        let all = report.set_hash == self.overlay.set_hash()
+            && report.nodes as usize == self.overlay.members().len();
+        let Some(publishing) = &mut self.publishing else { return };
+        if let Line::State(kind) = report.line {
+            for by in &report.refused {
+                let new = publishing.refusals.insert((by.key, kind, by.version));
+                if new {
+                    out.push(DisseminationOutput::Refused { kind, by: by.clone() });
+                }
+            }
+            while publishing.refusals.len() > MOST_REFUSALS {
+                publishing.refusals.pop_first();
+            }
+        }
+        let refused =
+            |sequence: u64| report.refusals > 0 || report.refused.iter().any(|by| by.version == sequence);
+        if !all || report.epoch != publishing.epoch {
+            return;
+        }
+        let line = report.line;
+        let pending = publishing.pending.range((line, 0)..=(line, report.through));
+        let done: Vec<(u64, Pending)> = pending
+            .filter(|((_, sequence), _)| line == Line::Log || !refused(*sequence))
+            .map(|((_, sequence), pending)| (*sequence, *pending))
+            .collect();
+        for (sequence, pending) in done {
+            publishing.pending.remove(&(line, sequence));
+            let after = now.saturating_sub(pending.at);
+            out.push(DisseminationOutput::Acknowledged { line, sequence, after, nodes: report.nodes });
+        }
+    }
+
+    fn name_those_that_lack(&mut self, now: Micros, within: Micros, out: &mut Vec<DisseminationOutput>) {
+        let publisher = self.me.key;
+        let Some(publishing) = &mut self.publishing else { return };
+        let mut late = Vec::new();
+        for (key, pending) in publishing.pending.iter_mut() {
+            if !pending.named && now >= pending.at + within {
+                pending.named = true;
+                late.push(*key);
+            }
+        }
+        let progress = self.progress(publisher);
+        for (line, sequence) in late {
+            let own = progress.iter().find(|(key, _)| key.line == line);
+            let key = LineKey { publisher, line };
+            let branch = self.overlay.branch(publisher);
+            let present = branch.members.len();
+            let (mut lacking, nodes) = match own {
+                Some((_, own)) if own.through >= sequence => {
+                    let report = self.reports.gather(now, key, own, sequence, branch);
+                    let refusing: Vec<u64> = refusing(&report.refused, sequence).map(|by| by.key).collect();
+                    let nodes = report.nodes.saturating_sub(report.refusals);
+                    (named(&report.lacking, branch).chain(refusing).collect::<BTreeSet<u64>>(), nodes)
+                }
+                // The publisher's own subscriber has not applied it.
+                _ => (branch.members.iter().map(|member| member.key).collect(), 0),
+            };
+            let missing = present.saturating_sub(nodes as usize);
+            while lacking.len() > MOST_NAMED {
+                lacking.pop_last();
+            }
+            let unnamed = missing.saturating_sub(lacking.len()) as u32;
+            let lacking = lacking.into_iter().collect();
+            out.push(DisseminationOutput::Unacknowledged { line, sequence, nodes, lacking, unnamed });
+        }
+    }
+}
+
+fn ready<'a>(
+    publishing: &'a mut Option<Publishing>,
+    payload: &[u8],
+) -> Result<&'a mut Publishing, PublishError> {
+    let publishing = publishing.as_mut().ok_or(PublishError::NotOpen)?;
+    if let Some(in_force) = publishing.fenced {
+        return Err(PublishError::Fenced { in_force });
+    }
+    if payload.len() > LARGEST_PAYLOAD {
+        return Err(PublishError::TooLarge { found: payload.len() });
+    }
+    match publishing.pending.len() {
+        pending if pending >= MOST_PENDING => Err(PublishError::Full(pending)),
+        _ => Ok(publishing),
+    }
+}
+
+fn refusing(refused: &[RefusedBy], version: u64) -> impl Iterator<Item = &RefusedBy> {
+    refused.iter().filter(move |by| by.version == version)
+}
+
+/// The keys of those that lack something: a branch stands for all below its first node.
+fn named<'a>(lacking: &'a [Lacking], branch: Branch<'a>) -> impl Iterator<Item = u64> + 'a {
+    lacking.iter().flat_map(move |lacking| {
+        let place = branch.members.iter().position(|member| member.key == lacking.key);
+        let places = match place {
+            Some(place) if lacking.branch => branch.tree.below(place),
+            Some(place) => vec![place],
+            None => Vec::new(),
+        };
+        places.into_iter().filter_map(move |place| branch.members.get(place)).map(|member| member.key)
+    })
+}
--- /dev/null
+++ b/src/peers/dissemination/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the core.
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -6,6 +6,7 @@
 
 mod budget;
 mod count;
+pub mod dissemination;
 mod identity;
 
 pub use budget::{ByteBudget, TrafficClass};
