--- a/lab/src/dissemination/ledger.rs
+++ b/lab/src/dissemination/ledger.rs
@@ -58,6 +58,8 @@
     got: HashMap<Subscriber, BTreeSet<(u64, u64)>>,
     /// Times from publishing to the subscriber, by entry: the largest of all nodes.
     slowest: BTreeMap<EntryId, Micros>,
+    /// Nodes whose times don't count: what they miss is the point of a case.
+    pub exempt: BTreeSet<usize>,
     /// Resets that were told.
     pub resets: Vec<Reset>,
     /// What went wrong.
@@ -87,6 +89,9 @@
         if !self.got.entry(subscriber).or_default().insert((id.epoch, id.sequence)) {
             self.faults.push(Fault::Twice(subscriber, id));
         }
+        if self.exempt.contains(&subscriber.node) {
+            return;
+        }
         let slowest = self.slowest.entry(id).or_insert(0);
         *slowest = (*slowest).max(now - at);
     }
--- a/src/peers/dissemination/asking.rs
+++ b/src/peers/dissemination/asking.rs
@@ -229,7 +229,7 @@
             let member = self.overlay.branch(publisher).ancestors().nth(usize::from(level) - 1).copied()?;
             Some(Target { member, hops: level })
         });
-        above.or_else(|| self.elsewhere(turn / TURNS.len() % 2 == 0))
+        above.or_else(|| self.elsewhere((turn / TURNS.len()).is_multiple_of(2)))
     }
 
     /// Any node, or any of the region.
@@ -257,7 +257,7 @@
             self.logs.keys().copied().chain(self.states.iter().map(|(key, _)| key.publisher)).collect();
         let chosen = publishers.iter().nth(turn / 4 % publishers.len().max(1)).copied();
         let target = match (joining, chosen) {
-            (false, Some(publisher)) if turn % 2 == 0 => self.target(publisher, turn / 2 % 2),
+            (false, Some(publisher)) if turn.is_multiple_of(2) => self.target(publisher, turn / 2 % 2),
             _ => self.elsewhere(turn % 4 < 2),
         };
         let Some(target) = target.or_else(|| self.elsewhere(false)) else { return };
--- a/src/peers/dissemination/log.rs
+++ b/src/peers/dissemination/log.rs
@@ -207,7 +207,7 @@
     }
 
     /// Entries that are held.
-    pub fn len(&self) -> usize {
+    pub fn entries(&self) -> usize {
         self.entries.len()
     }
 
--- a/src/peers/dissemination/mod.rs
+++ b/src/peers/dissemination/mod.rs
@@ -276,6 +276,11 @@
         self.counters
     }
 
+    /// All that it sees as present, itself among them.
+    pub fn members(&self) -> &[Member] {
+        self.overlay.members()
+    }
+
     /// Bytes of entries that are held.
     pub fn held_bytes(&self) -> usize {
         self.logs.values().map(Log::bytes).sum()
@@ -283,7 +288,7 @@
 
     /// Entries of logs that are held.
     pub fn held_entries(&self) -> usize {
-        self.logs.values().map(Log::len).sum()
+        self.logs.values().map(Log::entries).sum()
     }
 
     /// The last entry of a publisher's log that was delivered here.
--- a/src/peers/dissemination/publishing.rs
+++ b/src/peers/dissemination/publishing.rs
@@ -13,6 +13,10 @@
 const MOST_PENDING: usize = RETAINED / 2;
 /// Nodes that are named when an entry is not acknowledged in time.
 const MOST_NAMED: usize = 64;
+/// After a change of the view all branches have reported at their new place within this time.
+const VIEW_SETTLES: Micros = 3_000_000;
+/// Where the view keeps changing, those that lack an entry are named after this time beyond the bound in any case.
+const LONGEST_PATIENCE: Micros = 6_000_000;
 /// Refusals that are remembered as told.
 const MOST_REFUSALS: usize = 4_096;
 
@@ -58,6 +62,17 @@
     pending: BTreeMap<(Line, u64), Pending>,
     refusals: BTreeSet<(u64, u16, u64)>,
     fenced: Option<u64>,
+    /// The view that reports are held against, and since when.
+    view: (u64, Micros),
+}
+
+impl Publishing {
+    /// Whether it is time to say who lacks an entry. Where the view has just changed, branches hang elsewhere and have not
+    /// reported there yet: their nodes would be named for nothing.
+    fn is_late(&self, now: Micros, pending: &Pending, within: Micros) -> bool {
+        let due = pending.at + within;
+        !pending.named && now >= due && (now >= self.view.1 + VIEW_SETTLES || now >= due + LONGEST_PATIENCE)
+    }
 }
 
 impl Dissemination {
@@ -110,6 +125,7 @@
             pending: BTreeMap::new(),
             refusals: BTreeSet::new(),
             fenced: None,
+            view: (self.overlay.set_hash(), now),
         });
         Ok(())
     }
@@ -184,9 +200,12 @@
     pub(super) fn look_at_acknowledgements(&mut self, now: Micros, out: &mut Vec<DisseminationOutput>) {
         let publisher = self.me.key;
         let within = self.config.acknowledge_within.as_micros() as Micros;
-        let due = self.publishing.as_ref().is_some_and(|own| {
-            own.pending.values().any(|pending| !pending.named && now >= pending.at + within)
-        });
+        let view = self.overlay.set_hash();
+        let Some(own) = &mut self.publishing else { return };
+        if own.view.0 != view {
+            own.view = (view, now);
+        }
+        let due = own.pending.values().any(|pending| own.is_late(now, pending, within));
         let changed = std::mem::take(&mut self.reporting.entry(publisher).or_default().changed);
         if !due && !changed {
             return;
@@ -235,11 +254,11 @@
     fn name_those_that_lack(&mut self, now: Micros, within: Micros, out: &mut Vec<DisseminationOutput>) {
         let publisher = self.me.key;
         let Some(publishing) = &mut self.publishing else { return };
-        let mut late = Vec::new();
-        for (key, pending) in publishing.pending.iter_mut() {
-            if !pending.named && now >= pending.at + within {
+        let late = publishing.pending.iter().filter(|(_, pending)| publishing.is_late(now, pending, within));
+        let late: Vec<(Line, u64)> = late.map(|(key, _)| *key).collect();
+        for key in &late {
+            if let Some(pending) = publishing.pending.get_mut(key) {
                 pending.named = true;
-                late.push(*key);
             }
         }
         let progress = self.progress(publisher);
