--- a/lab/src/commands/membership.rs
+++ b/lab/src/commands/membership.rs
@@ -99,6 +99,11 @@
     rest: Duration::from_secs(30),
 };
 
+/// Of sizes over this one the series have some cases alone, and none with loss: a play of them takes minutes.
+const LARGEST_WITH_ALL_CASES: usize = 1_060;
+const CASES_OF_THE_LARGEST: [Case; 7] =
+    [Case::Rest, Case::Kill, Case::Restarts, Case::RackLost, Case::ZoneLost, Case::RegionCut, Case::Release];
+
 /// Memory is measured up to this size; a larger one tells nothing more and takes minutes.
 const LARGEST_FOR_MEMORY: usize = 1_060;
 
@@ -155,6 +160,9 @@
                 }
             }
         }
+        if self.series.is_some() && self.nodes.is_empty() {
+            plays.retain(in_series_by_default);
+        }
         if self.case.is_empty() {
             // A choice of ours leaves out what makes no sense; what was asked for is refused.
             plays.retain(|play| play.check().is_ok());
@@ -190,6 +198,11 @@
     Ok(true)
 }
 
+fn in_series_by_default(play: &Play) -> bool {
+    let for_the_largest = play.loss == 0.0 && CASES_OF_THE_LARGEST.contains(&play.case);
+    play.nodes <= LARGEST_WITH_ALL_CASES || for_the_largest
+}
+
 fn sizes_for_memory(mut sizes: Vec<usize>) -> Vec<usize> {
     sizes.sort_unstable();
     sizes.dedup();
