--- a/src/peers/membership/agreement.rs
+++ b/src/peers/membership/agreement.rs
@@ -10,6 +10,10 @@
 const FRESH: Micros = 5_000_000;
 /// A view is agreed when nothing spoke against it for so long.
 pub(super) const SETTLED: Micros = 1_000_000;
+/// A peer whose view differed when it was last heard, that long ago, is asked to compare.
+const COMPARE_AFTER: Micros = 200_000;
+/// And not again for so long: all may differ from one, which then asks them.
+const ASKED_FOR: Micros = 1_000_000;
 /// A view is agreed with this part of its nodes suspected, or one: where datagrams are lost somebody always is.
 const FEW_SUSPECTS: f64 = 0.1;
 /// Views that differ for longer are split.
@@ -32,6 +36,8 @@
 pub(super) struct ReportedDigest {
     pub at: Micros,
     pub digest: u64,
+    /// When it was asked last.
+    pub asked: Option<Micros>,
 }
 
 /// What a review needs to know of the members.
@@ -104,7 +110,8 @@
 
     /// A peer said what its view is.
     pub fn report(&mut self, now: Micros, from: SocketAddr, digest: u64) {
-        self.reported.insert(from, ReportedDigest { at: now, digest });
+        let asked = self.reported.get(&from).and_then(|said| said.asked);
+        self.reported.insert(from, ReportedDigest { at: now, digest, asked });
     }
 
     /// What a peer said no longer counts.
@@ -128,10 +135,18 @@
         self.reported.retain(|_, said| now < said.at + FRESH);
     }
 
-    /// Peers whose view differed when they were last heard, at the latest at `until`.
-    pub fn differing_until(&self, until: Micros) -> Vec<SocketAddr> {
-        let differing = |(_, said): &(_, &ReportedDigest)| said.digest != self.digest && said.at <= until;
-        self.reported.iter().filter(differing).map(|(address, _)| *address).collect()
+    /// Peers whose view differed when they were last heard, some time ago, and that were not asked since.
+    pub fn to_be_compared(&self, now: Micros) -> Vec<SocketAddr> {
+        let due = |(_, said): &(_, &ReportedDigest)| {
+            let asked_lately = said.asked.is_some_and(|asked| now < asked + ASKED_FOR);
+            said.digest != self.digest && now >= said.at + COMPARE_AFTER && !asked_lately
+        };
+        self.reported.iter().filter(due).map(|(address, _)| *address).collect()
+    }
+
+    /// A peer was asked what its view is.
+    pub fn asked(&mut self, now: Micros, peer: &SocketAddr) {
+        self.reported.entry(*peer).and_modify(|said| said.asked = Some(now));
     }
 
     /// Digests of others that differ, with those that have them.
--- a/src/peers/membership/digest.rs
+++ b/src/peers/membership/digest.rs
@@ -7,10 +7,10 @@
 
 /// A view's finest parts: two to this power. Up to four thousand nodes that is about four nodes in each.
 const FINEST: u8 = 10;
-/// Nodes in a part on the mean: few where most parts differ, so that what is alike is not listed; more where few do, so
-/// that digests of all parts take few bytes.
-const NODES_IN_FINE_PART: u32 = 4;
-const NODES_IN_COARSE_PART: u32 = 16;
+/// Nodes in a part on the mean: few, so that little is listed that is alike.
+const NODES_IN_PART: u32 = 4;
+/// Parts that are compared at the most: their digests take this many times two bytes.
+const MOST_COMPARED: u32 = 256;
 
 /// A hash of one life of a peer, the same at every node and in every build. The digest of a view is the sum, without
 /// regard to order, of these for each life of a node in it.
@@ -46,14 +46,37 @@
     x ^ (x >> 31)
 }
 
-/// Six bytes of the hash of a life: enough to tell any two lives of a cluster apart, in a fifth of an identity's bytes.
+/// One life of a peer in eight bytes, a quarter of an identity's: enough to tell which lives are one address's, which of
+/// them is the later one, and whether two are the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub(super) struct LifeTag([u8; 6]);
+pub(super) struct LifeTag {
+    /// Of the hash of its address. Within one part of a view two addresses hardly ever share it.
+    address: [u8; 3],
+    /// Its order in units of 16.8 s, so that it is no more often the same again than in nine years.
+    order: [u8; 3],
+    /// Of the hash of the life, for those that began in one such unit.
+    check: [u8; 2],
+}
+
+/// Bits of the order that a tag leaves out.
+const ORDER_UNIT_BITS: u32 = 24;
 
 impl LifeTag {
-    pub fn of(life: u64) -> Self {
-        let [a, b, c, d, e, f, ..] = life.to_le_bytes();
-        Self([a, b, c, d, e, f])
+    pub fn of(peer: &Peer) -> Self {
+        let [a, b, c, ..] = mix(address_bits(peer.address)).to_le_bytes();
+        let [.., o, p, q] = (peer.order >> ORDER_UNIT_BITS).to_be_bytes();
+        let [.., x, y] = life_hash(peer).to_le_bytes();
+        Self { address: [a, b, c], order: [o, p, q], check: [x, y] }
+    }
+
+    /// Whether both are lives of one address.
+    pub fn same_address(&self, other: &Self) -> bool {
+        self.address == other.address
+    }
+
+    /// Which of two lives of one address is the later one, as far as tags tell.
+    pub fn compare_order(&self, other: &Self) -> std::cmp::Ordering {
+        self.order.cmp(&other.order)
     }
 }
 
@@ -64,18 +87,10 @@
 }
 
 impl Partition {
-    /// For a view of so many nodes, where much differs.
-    pub fn fine(nodes: u32) -> Self {
-        Self::of_parts(nodes / NODES_IN_FINE_PART)
-    }
-
-    /// For a view of so many nodes, where little differs.
-    pub fn coarse(nodes: u32) -> Self {
-        Self::of_parts(nodes / NODES_IN_COARSE_PART)
-    }
-
-    fn of_parts(parts: u32) -> Self {
-        Self { depth: (parts.max(1).ilog2() as u8).min(FINEST) }
+    /// The one for a view of so many nodes.
+    pub fn for_nodes(nodes: u32) -> Self {
+        let parts = (nodes / NODES_IN_PART).clamp(1, MOST_COMPARED);
+        Self { depth: parts.ilog2() as u8 }
     }
 
     /// Whether it is one that a peer may ask for.
--- a/src/peers/membership/digest/tests.rs
+++ b/src/peers/membership/digest/tests.rs
@@ -31,7 +31,7 @@
     (0..500).for_each(|host| one.add(address(host), life(host)));
     let mut two = one.clone();
     two.remove(address(77), life(77));
-    let partition = Partition::fine(500);
+    let partition = Partition::for_nodes(500);
     assert_eq!(partition.parts(), 64);
     for nonce in 0..20 {
         let differs = |part: &u16| one.short(partition, *part, nonce) != two.short(partition, *part, nonce);
@@ -44,10 +44,29 @@
 #[test]
 fn every_partition_covers_the_view_once() {
     for nodes in [1, 5, 66, 2_120, 1_000_000] {
-        let partition = Partition::fine(nodes);
+        let partition = Partition::for_nodes(nodes);
         assert!(partition.is_valid());
         let finest: Vec<u16> = (0..partition.parts()).flat_map(|part| partition.finest(part)).collect();
         assert_eq!(finest, (0..1 << FINEST).collect::<Vec<_>>(), "{nodes} nodes");
     }
     assert!(!Partition { depth: FINEST + 1 }.is_valid());
 }
+
+#[test]
+fn tags_tell_lives_of_one_address_and_the_later_of_them() {
+    let peer = |host, order| Peer {
+        address: address(host),
+        order,
+        salt: 1,
+        observer: false,
+        name: String::new(),
+        more: Vec::new(),
+    };
+    let now = 1_700_000_000_000_000;
+    let (one, later) = (LifeTag::of(&peer(1, now)), LifeTag::of(&peer(1, now + 60_000_000)));
+    assert!(one.same_address(&later) && !one.same_address(&LifeTag::of(&peer(2, now))));
+    assert_eq!(one.compare_order(&later), std::cmp::Ordering::Less);
+    let renewed = foca::Identity::renew(&peer(1, now)).unwrap();
+    assert_eq!(LifeTag::of(&renewed).compare_order(&later), std::cmp::Ordering::Greater);
+    assert_ne!(one, LifeTag::of(&peer(1, now + 1)));
+}
--- a/src/peers/membership/gossip.rs
+++ b/src/peers/membership/gossip.rs
@@ -6,17 +6,17 @@
 /// one in `e` to this power is missed; repair brings the rest.
 const COPIES: u8 = 10;
 /// While much changes news is mostly pulled by repair, which sends nobody what it has.
-const COPIES_IN_BURST: u8 = 2;
+const COPIES_IN_BURST: u8 = 1;
 /// Peers that are told at once.
 const FAN_OUT: usize = 3;
 const FAN_OUT_IN_BURST: usize = 1;
 /// Pieces of news that may wait to be passed on; what comes beyond them is left to repair.
 const BACKLOG: usize = 32;
-const BACKLOG_IN_BURST: usize = 8;
+const BACKLOG_IN_BURST: usize = 4;
 /// More changes than this, of late, are a burst.
 const BURST: f64 = 32.0;
 /// Half of the changes are forgotten in this time.
-const HALF_LIFE: f64 = 1_500_000.0;
+const HALF_LIFE: f64 = 750_000.0;
 
 /// What holds now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/peers/membership/inbound.rs
+++ b/src/peers/membership/inbound.rs
@@ -76,12 +76,12 @@
 
 /// A message of the engine with no more than so many of its updates.
 pub(super) fn truncate_updates(payload: &[u8], most: usize) -> Vec<u8> {
-    let Ok((header, rest)) = postcard::take_from_bytes::<Header<Peer>>(payload) else {
-        return payload.to_vec();
-    };
-    let Some((count, updates)) = rest.split_first_chunk::<COUNT_BYTES>() else { return payload.to_vec() };
+    let whole = || payload.to_vec();
+    let header = postcard::take_from_bytes::<Header<Peer>>(payload);
+    let Some((header, rest)) = header.ok().filter(|_| most < usize::MAX) else { return whole() };
+    let Some((count, updates)) = rest.split_first_chunk::<COUNT_BYTES>() else { return whole() };
     if !carries_updates(&header.message) || usize::from(u16::from_be_bytes(*count)) <= most {
-        return payload.to_vec();
+        return whole();
     }
     let (mut left, mut kept) = (updates, 0u16);
     while usize::from(kept) < most {
--- a/src/peers/membership/members.rs
+++ b/src/peers/membership/members.rs
@@ -15,6 +15,7 @@
     pub peer: Peer,
     /// The hash of this life of it.
     pub life: u64,
+    pub tag: LifeTag,
     pub standing: Standing,
     /// When it came to stand so.
     pub since: Micros,
@@ -36,10 +37,6 @@
     pub fn is_counted(&self) -> bool {
         !self.peer.observer && !self.standing.is_gone()
     }
-
-    pub fn tag(&self) -> LifeTag {
-        LifeTag::of(self.life)
-    }
 }
 
 /// How many nodes stand how.
@@ -114,7 +111,7 @@
     /// An address has another identity, which stands as the one before did.
     pub fn replace(&mut self, peer: &Peer) {
         let Some(mut member) = self.take(&peer.address) else { return };
-        (member.peer, member.life) = (peer.clone(), life_hash(peer));
+        (member.peer, member.life, member.tag) = (peer.clone(), life_hash(peer), LifeTag::of(peer));
         (member.schema, member.word) = (0, Word::default());
         self.put(member);
     }
@@ -148,8 +145,8 @@
         let (schema, word) = same.map_or((0, Word::default()), |before| (before.schema, before.word));
         // An observer that goes is nobody's loss.
         if !(peer.observer && standing != Standing::Present) {
-            let (peer, life) = (peer.clone(), life_hash(peer));
-            self.put(Member { peer, life, standing, since: now, schema, word });
+            let (peer, life, tag) = (peer.clone(), life_hash(peer), LifeTag::of(peer));
+            self.put(Member { peer, life, tag, standing, since: now, schema, word });
         }
         is_news
     }
--- a/src/peers/membership/members/tests.rs
+++ b/src/peers/membership/members/tests.rs
@@ -47,7 +47,7 @@
         |standing| table.iter().filter(|member| member.standing == standing && !member.peer.observer).count();
     let [present, suspected, left, lost] = standings.map(counted);
     assert_eq!(table.counts(), StandingCounts { present, suspected, left, lost });
-    let partition = Partition::fine(256);
+    let partition = Partition::for_nodes(256);
     let listed: usize =
         (0..partition.parts()).map(|part| table.in_parts(partition.finest(part)).count()).sum();
     assert_eq!(listed, table.len());
--- a/src/peers/membership/mod.rs
+++ b/src/peers/membership/mod.rs
@@ -53,10 +53,10 @@
 const ASLEEP: Micros = 700_000;
 /// Agreement is reviewed this often.
 const REVIEW_EVERY: Micros = SETTLED / 4;
-/// A peer whose view differed when it was last heard, that long ago, is asked to compare.
-const COMPARE_AFTER: Micros = 400_000;
-/// So many at once.
-const COMPARE_WIDTH: usize = 3;
+/// Peers whose view differed when they were last heard are asked to compare; so many at once. While much changes, each
+/// comparison brings much, and others at the same time would bring the same.
+const COMPARE_WIDTH: usize = 8;
+const COMPARE_WIDTH_IN_BURST: usize = 1;
 
 /// One process's part in the membership.
 pub(super) struct Membership {
@@ -162,11 +162,11 @@
             return Err(DropReason::Crowd);
         }
         self.follow_change_rate(now);
-        let handled = self.hand_to_engine(now, message, out);
+        let schema = envelope.schema;
+        let handled = self.hand_to_engine(now, message, schema, out);
         if self.members.get(&sender).is_some_and(|held| !held.peer.observer) {
             self.agreement.report(now, sender, envelope.digest);
         }
-        self.members.heard(&sender, envelope.schema);
         handled
     }
 
@@ -175,6 +175,7 @@
         &mut self,
         now: Micros,
         message: InboundMessage,
+        schema: u16,
         out: &mut Vec<Output>,
     ) -> Result<(), DropReason> {
         let source = &message.header.src;
@@ -187,17 +188,23 @@
         let payload = message.without_updates();
         if accepted && !message.updates.is_empty() {
             let mut effects = EngineEffects::default();
-            self.apply_updates(message.updates, &mut effects);
+            // A list of members is news to its reader alone.
+            let pass_on = message.header.message != foca::Message::Feed;
+            self.apply_updates(message.updates, pass_on, &mut effects);
             self.apply(now, effects, out);
         }
         let mut effects = EngineEffects::default();
         let handled = self.engine.handle_data(&payload, &mut effects);
+        let answers = std::mem::take(&mut effects.messages);
         self.apply(now, effects, out);
+        // What is answered depends on what its reader reads.
+        self.members.heard(&message.header.src.address, schema);
+        self.send(now, answers, out);
         handled.map_err(|_| DropReason::Malformed)
     }
 
     /// Gives the engine words that may be news. Those beyond what may wait to be passed on are left to repair.
-    fn apply_updates(&mut self, updates: Vec<MemberUpdate>, effects: &mut EngineEffects) {
+    fn apply_updates(&mut self, updates: Vec<MemberUpdate>, pass_on: bool, effects: &mut EngineEffects) {
         for update in updates {
             let room = self.members.len() < MOST_PEERS;
             if !room && self.members.get(&update.id().address).is_none() {
@@ -205,7 +212,7 @@
             }
             if inbound::is_news(&mut self.members, &update) {
                 self.suspicions_changed |= update.state() != State::Down;
-                let pass_on = self.engine.updates_backlog() < self.plan.backlog;
+                let pass_on = pass_on && self.engine.updates_backlog() < self.plan.backlog;
                 // Errors would be of its size alone.
                 let _ = self.engine.apply_many([update].into_iter(), pass_on, &mut *effects);
             }
@@ -244,12 +251,7 @@
         if message == RepairMessage::Compare {
             return self.answer_comparison(now, from, out);
         }
-        let view = LocalView {
-            me: self.engine.identity(),
-            members: &self.members,
-            nodes: self.nodes(),
-            burst: self.changes.is_burst(now),
-        };
+        let view = LocalView { me: self.engine.identity(), members: &self.members, nodes: self.nodes() };
         let outcome = self.repair.receive(now, view, message);
         self.carry_out_repair(now, from, outcome, out);
     }
@@ -257,16 +259,13 @@
     /// Tells the present digest, and those of parts where the peer's view differed when it asked.
     fn answer_comparison(&mut self, now: Micros, to: SocketAddr, out: &mut Vec<Output>) {
         let mut messages = Vec::new();
-        if self.agreement.differs(&to) {
-            let view = LocalView {
-                me: self.engine.identity(),
-                members: &self.members,
-                nodes: self.nodes(),
-                burst: self.changes.is_burst(now),
-            };
+        let differs = self.agreement.differs(&to);
+        if differs && self.pacing.allows(now, Pace::Comparison) && self.repair.may_answer(now) {
+            let view = LocalView { me: self.engine.identity(), members: &self.members, nodes: self.nodes() };
             messages.push(self.repair.digests(view));
         }
-        self.send_repair(now, to, Pace::Comparison, messages, out);
+        let pace = if messages.is_empty() { Pace::Spare } else { Pace::Comparison };
+        self.send_repair(now, to, pace, messages, out);
     }
 
     fn carry_out_repair(
@@ -279,6 +278,9 @@
         for messages in outcome.answers {
             self.send_repair(now, from, Pace::Answer, messages, out);
         }
+        for messages in outcome.offers {
+            self.send_repair(now, from, Pace::Comparison, messages, out);
+        }
         let mut updates = Vec::new();
         for (peer, left) in outcome.gone {
             if left {
@@ -524,10 +526,18 @@
 
     fn send(&mut self, now: Micros, messages: Vec<EngineMessage>, out: &mut Vec<Output>) {
         for EngineMessage { to, kind, mut payload } in messages {
-            if kind == TrafficKind::Feed {
-                let Some(most) = self.pacing.members_in_feed(now, payload.len()) else { continue };
-                payload = inbound::truncate_updates(&payload, most);
-            }
+            let most = match kind {
+                TrafficKind::Feed => {
+                    let repairs = self.reads_extensions(&to);
+                    let Some(most) = self.pacing.members_in_feed(now, repairs, payload.len()) else {
+                        continue;
+                    };
+                    most
+                }
+                TrafficKind::Probe | TrafficKind::Gossip => self.pacing.news_on_message(now),
+                _ => usize::MAX,
+            };
+            payload = inbound::truncate_updates(&payload, most);
             if let Some(data) = self.datagram(&payload, &[]) {
                 self.pacing.take(now, data.len());
                 self.traffic.add(kind, data.len());
@@ -594,11 +604,12 @@
 
     /// Asks some of those whose view differed to compare: the answer tells a present digest, and where views differ.
     fn compare_views(&mut self, now: Micros, out: &mut Vec<Output>) {
-        let Some(until) = now.checked_sub(COMPARE_AFTER) else { return };
-        let mut among = self.agreement.differing_until(until);
+        let mut among = self.agreement.to_be_compared(now);
         among.sort_unstable();
         self.random.shuffle(&mut among);
-        for address in among.into_iter().take(COMPARE_WIDTH) {
+        let width = if self.changes.is_burst(now) { COMPARE_WIDTH_IN_BURST } else { COMPARE_WIDTH };
+        for address in among.into_iter().take(width) {
+            self.agreement.asked(now, &address);
             if self.reads_extensions(&address) {
                 self.send_repair(now, address, Pace::Comparison, vec![RepairMessage::Compare], out);
             } else {
--- a/src/peers/membership/pacing.rs
+++ b/src/peers/membership/pacing.rs
@@ -17,6 +17,8 @@
 /// Members in a list while bytes are short: enough to have company, which repair needs.
 const FEW_MEMBERS: usize = 4;
 const FEW_MEMBERS_BYTES: usize = 300;
+/// A list of no more bytes is sent whole to one that repairs its view as well: it may be all that there is to know.
+const SHORT_LIST: usize = 600;
 
 /// What a message of the repair is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,8 +27,25 @@
     Comparison,
     /// It answers: what came before it is lost without it.
     Answer,
+    /// It tells a digest to one that asked; the first of all to wait, as any later datagram tells it too.
+    Spare,
 }
 
+impl Pace {
+    fn class(self) -> TrafficClass {
+        match self {
+            Self::Comparison | Self::Spare => TrafficClass::Repair,
+            Self::Answer => TrafficClass::Configuration,
+        }
+    }
+}
+
+/// Pieces of news on a probe or its answer while bytes are short, and while there are none.
+const FEW_NEWS: usize = 4;
+const LEAST_NEWS: usize = 1;
+/// Bytes that are left to comparisons by what may be spared.
+const SPARE_RESERVE: usize = 1_500;
+
 /// The bytes that membership may send.
 pub(super) struct Pacing {
     budget: ByteBudget,
@@ -44,11 +63,14 @@
 
     /// Whether a message of the repair may go.
     pub fn try_take(&mut self, now: Micros, pace: Pace, bytes: usize) -> bool {
-        let class = match pace {
-            Pace::Comparison => TrafficClass::Repair,
-            Pace::Answer => TrafficClass::Configuration,
-        };
-        self.budget.try_take(now, class, bytes)
+        let spare = if pace == Pace::Spare { SPARE_RESERVE } else { 0 };
+        let allowed = self.budget.wait(now, pace.class(), bytes + spare) == Some(0);
+        allowed && self.budget.try_take(now, pace.class(), bytes)
+    }
+
+    /// Whether a message of the repair may go, however long.
+    pub fn allows(&mut self, now: Micros, pace: Pace) -> bool {
+        self.budget.wait(now, pace.class(), MESSAGE_BYTES) == Some(0)
     }
 
     /// How long a round of gossip has to wait; none where it may go.
@@ -65,9 +87,19 @@
         }
     }
 
-    /// How many members a list of so many bytes may hold; none where it may not go.
-    pub fn members_in_feed(&mut self, now: Micros, bytes: usize) -> Option<usize> {
-        if self.budget.wait(now, TrafficClass::Log, bytes) == Some(0) {
+    /// How many pieces of news may ride on a message that goes in any case.
+    pub fn news_on_message(&mut self, now: Micros) -> usize {
+        let levels = [(TrafficClass::Repair, usize::MAX), (TrafficClass::Configuration, FEW_NEWS)];
+        let allowed =
+            levels.iter().find(|(class, _)| self.budget.wait(now, *class, MESSAGE_BYTES) == Some(0));
+        allowed.map_or(LEAST_NEWS, |(_, news)| *news)
+    }
+
+    /// How many members a list of so many bytes may hold; none where it may not go. `repairs`: its reader compares views,
+    /// and asks for what it lacks.
+    pub fn members_in_feed(&mut self, now: Micros, repairs: bool, bytes: usize) -> Option<usize> {
+        let whole = !repairs || bytes <= SHORT_LIST;
+        if whole && self.budget.wait(now, TrafficClass::Log, bytes) == Some(0) {
             return Some(usize::MAX);
         }
         let short = self.budget.wait(now, TrafficClass::Membership, FEW_MEMBERS_BYTES);
--- a/src/peers/membership/pacing/tests.rs
+++ b/src/peers/membership/pacing/tests.rs
@@ -37,10 +37,15 @@
 #[test]
 fn lists_become_short_and_then_end_while_bytes_lack() {
     let mut pacing = Pacing::new(0);
-    assert_eq!(pacing.members_in_feed(0, 1_200), Some(usize::MAX));
+    assert_eq!(pacing.members_in_feed(0, false, 1_200), Some(usize::MAX));
     pacing.take(0, 6_500);
-    assert_eq!(pacing.members_in_feed(0, 1_200), Some(FEW_MEMBERS));
+    assert_eq!(pacing.members_in_feed(0, false, 1_200), Some(FEW_MEMBERS));
     pacing.take(0, 1_000);
-    assert_eq!(pacing.members_in_feed(0, 1_200), None);
-    assert_eq!(pacing.members_in_feed(2 * SECOND, 1_200), Some(usize::MAX));
+    assert_eq!(pacing.members_in_feed(0, false, 1_200), None);
+    assert_eq!(pacing.members_in_feed(2 * SECOND, false, 1_200), Some(usize::MAX));
+    assert_eq!(
+        pacing.members_in_feed(2 * SECOND, true, 1_200),
+        Some(FEW_MEMBERS),
+        "it asks for what it lacks"
+    );
 }
--- a/src/peers/membership/repair.rs
+++ b/src/peers/membership/repair.rs
@@ -11,13 +11,14 @@
 //! ```
 //!
 //! No message needs another one before it: a lost one is made up for by the next comparison. Lives are told by tags of
-//! six bytes; identities are sent to those alone that ask for them. One that came back after it had been declared gone
+//! eight bytes; identities are sent to those alone that ask for them. One that came back after it had been declared gone
 //! is told by its tag alone, as its new identity follows from the one before.
 
 use serde::{Deserialize, Serialize};
+use std::cmp::Ordering;
 use std::collections::HashMap;
 
-use super::digest::{life_hash, part_of, LifeTag, Partition};
+use super::digest::{part_of, LifeTag, Partition};
 use super::members::{Member, MemberTable};
 use super::view::Standing;
 use crate::peers::identity::Peer;
@@ -25,18 +26,20 @@
 
 /// Bytes of the messages in one datagram at the most: with the envelope and the sender it stays within its bound.
 const MESSAGE_BYTES: usize = 1_100;
-/// Parts in one message of digests while much changes: what differs would not fit into an answer for more.
-const PARTS_IN_BURST: u16 = 32;
+/// Of these, what stands before the records of one message: its kind and their number.
+const RECORDS_HEAD_BYTES: usize = 3;
 /// Lives in one message at the most.
-const MOST_LIVES: usize = 150;
+const MOST_LIVES: usize = 120;
 /// Lives that are asked for at once: their records are sent in a few datagrams.
 const MOST_WANTED: usize = 96;
-/// Lives that are offered, or said to be gone, at once.
-const MOST_TOLD: usize = 32;
+/// Lives that are said to be gone at once.
+const MOST_GONE: usize = 32;
 /// A record that was asked for is not asked for again for so long.
 const WANTED_FOR: Micros = 400_000;
 /// A life that the engine refused, as it knows it for gone, is not asked for again for so long.
 const REFUSED_FOR: Micros = 30_000_000;
+/// Comparisons are answered with digests this often at the most: where all differ from one, it need not hear it from all.
+const ANSWER_EVERY: Micros = 150_000;
 /// Renewals of an identity that are tried to find a life that is not known by its tag.
 const RENEWALS: usize = 3;
 
@@ -75,12 +78,11 @@
     }
 }
 
-/// Digests of some of the parts of a view, from `first` on.
+/// Digests of all parts of a view.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(in crate::peers) struct PartDigests {
     partition: Partition,
     nonce: u32,
-    first: u16,
     digests: Vec<u16>,
 }
 
@@ -123,6 +125,8 @@
 pub(super) struct RepairOutcome {
     /// Messages in answer, each list for a datagram of its own.
     pub answers: Vec<Vec<RepairMessage>>,
+    /// Messages that may wait for another comparison.
+    pub offers: Vec<Vec<RepairMessage>>,
     /// Members that are present.
     pub alive: Vec<Record>,
     /// Members that are gone, and whether they said farewell.
@@ -135,33 +139,24 @@
     pub me: &'a Peer,
     pub members: &'a MemberTable,
     pub nodes: u32,
-    /// Much changes.
-    pub burst: bool,
 }
 
 impl LocalView<'_> {
-    fn partition(&self) -> Partition {
-        match self.burst {
-            true => Partition::fine(self.nodes),
-            false => Partition::coarse(self.nodes),
-        }
-    }
-
     /// The tags of the nodes of a part, the node itself among them.
     fn tags(&self, partition: Partition, part: u16) -> Vec<LifeTag> {
         let range = partition.finest(part);
         let own = !self.me.observer && range.contains(&part_of(self.me.address));
-        let own = own.then(|| LifeTag::of(life_hash(self.me)));
+        let own = own.then(|| LifeTag::of(self.me));
         let members = self.members.in_parts(range).filter(|member| member.is_counted());
-        members.map(Member::tag).chain(own).collect()
+        members.map(|member| member.tag).chain(own).collect()
     }
 
     fn record(&self, partition: Partition, part: u16, tag: LifeTag) -> Option<Record> {
         let range = partition.finest(part);
-        if range.contains(&part_of(self.me.address)) && LifeTag::of(life_hash(self.me)) == tag {
+        if range.contains(&part_of(self.me.address)) && LifeTag::of(self.me) == tag {
             return Some(Record { peer: self.me.clone(), incarnation: 0 });
         }
-        let member = self.members.in_parts(range).find(|member| member.tag() == tag)?;
+        let member = self.members.in_parts(range).find(|member| member.tag == tag)?;
         let record = Record { peer: member.peer.clone(), incarnation: member.word.incarnation };
         member.is_counted().then_some(record)
     }
@@ -171,7 +166,10 @@
 enum LocalKnowledge<'a> {
     Held,
     Gone(&'a Member),
+    /// It is what a known life becomes after it was declared gone.
     Renewed(Peer),
+    /// A later life of its address is known.
+    Superseded,
     Unknown,
 }
 
@@ -180,11 +178,13 @@
     random: fastrand::Rng,
     /// Lives that are not asked for until then.
     not_before: HashMap<LifeTag, Micros>,
+    /// Digests are not told again until then.
+    answers_from: Micros,
 }
 
 impl Repair {
     pub fn new(seed: u64) -> Self {
-        Self { random: fastrand::Rng::with_seed(seed), not_before: HashMap::new() }
+        Self { random: fastrand::Rng::with_seed(seed), not_before: HashMap::new(), answers_from: 0 }
     }
 
     /// Forgets what no longer holds.
@@ -192,19 +192,26 @@
         self.not_before.retain(|_, until| now < *until);
     }
 
+    /// Whether another comparison may be answered with digests.
+    pub fn may_answer(&mut self, now: Micros) -> bool {
+        let may = now >= self.answers_from;
+        if may {
+            self.answers_from = now + ANSWER_EVERY;
+        }
+        may
+    }
+
     /// The engine did not take over a life.
     pub fn refused(&mut self, now: Micros, peer: &Peer) {
-        self.not_before.insert(LifeTag::of(life_hash(peer)), now + REFUSED_FOR);
+        self.not_before.insert(LifeTag::of(peer), now + REFUSED_FOR);
     }
 
-    /// The digests of a view: all of them, or some at random while much changes.
+    /// The digests of all parts of a view.
     pub fn digests(&mut self, view: LocalView) -> RepairMessage {
-        let (partition, nonce) = (view.partition(), self.random.u32(..));
-        let count = partition.parts().min(if view.burst { PARTS_IN_BURST } else { u16::MAX });
-        let first = self.random.u16(0..partition.parts() / count) * count;
+        let (partition, nonce) = (Partition::for_nodes(view.nodes), self.random.u32(..));
         let short = |part| view.members.digest().short(partition, part, nonce);
-        let digests = (first..first + count).map(short).collect();
-        RepairMessage::Digests(PartDigests { partition, nonce, first, digests })
+        let digests = (0..partition.parts()).map(short).collect();
+        RepairMessage::Digests(PartDigests { partition, nonce, digests })
     }
 
     /// A message has come.
@@ -224,15 +231,13 @@
     /// Lists the nodes of parts that differ, from a random one on: another comparison lists others.
     fn compare_digests(&mut self, view: LocalView, theirs: &PartDigests) -> RepairOutcome {
         let (partition, mut outcome) = (theirs.partition, RepairOutcome::default());
-        let count = theirs.digests.len();
-        if !partition.is_valid() || usize::from(theirs.first) + count > usize::from(partition.parts()) {
+        if !partition.is_valid() || theirs.digests.len() != usize::from(partition.parts()) {
             return outcome;
         }
-        let differing =
-            theirs.digests.iter().zip(theirs.first..).filter(|(digest, part)| {
-                view.members.digest().short(partition, *part, theirs.nonce) != **digest
-            });
-        let mut differing: Vec<u16> = differing.map(|(_, part)| part).collect();
+        let differing = (0..)
+            .zip(&theirs.digests)
+            .filter(|(part, digest)| view.members.digest().short(partition, *part, theirs.nonce) != **digest);
+        let mut differing: Vec<u16> = differing.map(|(part, _)| part).collect();
         if !differing.is_empty() {
             let start = self.random.usize(0..differing.len());
             differing.rotate_left(start);
@@ -259,13 +264,15 @@
         for part in &theirs.parts {
             let missing = view.tags(theirs.partition, part.part);
             let missing = missing.into_iter().filter(|tag| !part.lives.contains(tag));
-            missing.take(MOST_TOLD.saturating_sub(offered.len())).for_each(|tag| offered.add(part.part, tag));
+            missing
+                .take(MOST_LIVES.saturating_sub(offered.len()))
+                .for_each(|tag| offered.add(part.part, tag));
         }
-        let (mut outcome, mut messages) = self.take_lives(now, view, theirs);
+        let (mut outcome, messages) = self.take_lives(now, view, theirs);
+        outcome.answer(messages);
         if offered.len() > 0 {
-            messages.push(RepairMessage::Offered(offered));
+            outcome.offers.push(vec![RepairMessage::Offered(offered)]);
         }
-        outcome.answer(messages);
         outcome
     }
 
@@ -290,11 +297,11 @@
         for part in &theirs.parts {
             for &tag in &part.lives {
                 match knowledge(view, partition, part.part, tag) {
-                    LocalKnowledge::Held => {}
+                    LocalKnowledge::Held | LocalKnowledge::Superseded => {}
                     LocalKnowledge::Renewed(peer) => outcome.alive.push(Record { peer, incarnation: 0 }),
                     LocalKnowledge::Gone(member) => {
                         let gone = if member.standing == Standing::Left { &mut left } else { &mut lost };
-                        if gone.len() < MOST_TOLD {
+                        if gone.len() < MOST_GONE {
                             gone.add(part.part, tag);
                         }
                     }
@@ -342,24 +349,25 @@
 }
 
 fn knowledge(view: LocalView<'_>, partition: Partition, part: u16, tag: LifeTag) -> LocalKnowledge<'_> {
-    let range = partition.finest(part);
-    if LifeTag::of(life_hash(view.me)) == tag {
+    if LifeTag::of(view.me).same_address(&tag) && partition.finest(part).contains(&part_of(view.me.address)) {
         return LocalKnowledge::Held;
     }
-    for member in view.members.in_parts(range) {
-        if member.tag() == tag {
-            return match member.is_counted() {
-                true => LocalKnowledge::Held,
-                false => LocalKnowledge::Gone(member),
-            };
-        }
-        let renewals = std::iter::successors(foca::Identity::renew(&member.peer), foca::Identity::renew);
-        let renewed = renewals.take(RENEWALS).find(|peer| LifeTag::of(life_hash(peer)) == tag);
-        if let Some(peer) = renewed {
-            return LocalKnowledge::Renewed(peer);
-        }
+    let mut members = view.members.in_parts(partition.finest(part));
+    let Some(member) = members.find(|member| member.tag.same_address(&tag)) else {
+        return LocalKnowledge::Unknown;
+    };
+    if member.tag == tag {
+        return match member.is_counted() {
+            true => LocalKnowledge::Held,
+            false => LocalKnowledge::Gone(member),
+        };
+    }
+    if tag.compare_order(&member.tag) == Ordering::Less {
+        return LocalKnowledge::Superseded;
     }
-    LocalKnowledge::Unknown
+    let renewals = std::iter::successors(foca::Identity::renew(&member.peer), foca::Identity::renew);
+    let renewed = renewals.take(RENEWALS).find(|peer| LifeTag::of(peer) == tag);
+    renewed.map_or(LocalKnowledge::Unknown, LocalKnowledge::Renewed)
 }
 
 fn send_records(view: LocalView, wanted: &LivesByPart) -> RepairOutcome {
@@ -369,7 +377,7 @@
     for (part, tag) in lives.take(MOST_WANTED) {
         let Some(record) = view.record(wanted.partition, part, tag) else { continue };
         let length = postcard::to_stdvec(&record).map_or(0, |data| data.len());
-        if bytes + length > MESSAGE_BYTES {
+        if RECORDS_HEAD_BYTES + bytes + length > MESSAGE_BYTES {
             outcome.answers.push(vec![RepairMessage::Records(std::mem::take(&mut records))]);
             bytes = 0;
         }
@@ -387,10 +395,10 @@
     let mut outcome = RepairOutcome::default();
     for part in &gone.lives.parts {
         let range = gone.lives.partition.finest(part.part);
-        let held = |member: &&Member| member.is_counted() && part.lives.contains(&member.tag());
+        let held = |member: &&Member| member.is_counted() && part.lives.contains(&member.tag);
         let members = view.members.in_parts(range).filter(held);
         outcome.gone.extend(members.map(|member| (member.peer.clone(), gone.left)));
-        if part.lives.contains(&LifeTag::of(life_hash(view.me))) {
+        if part.lives.contains(&LifeTag::of(view.me)) {
             outcome.gone.push((view.me.clone(), false));
         }
     }
