--- a/src/peers/membership/engine.rs
+++ b/src/peers/membership/engine.rs
@@ -35,6 +35,8 @@
     pub changes: Vec<MemberChange>,
     /// Others had declared this process gone: it has another identity now.
     pub rejoined: bool,
+    /// The incarnation of this process, where a message told it.
+    pub incarnation: Option<foca::Incarnation>,
 }
 
 impl EngineEffects {
@@ -63,7 +65,13 @@
     fn send_to(&mut self, to: Peer, data: &[u8]) {
         // Every message begins with a header that the engine has just written.
         let header = postcard::take_from_bytes::<foca::Header<Peer>>(data);
-        let kind = header.map_or(TrafficKind::Probe, |(header, _)| TrafficKind::of(&header.message));
+        let kind = match header {
+            Ok((header, _)) => {
+                self.incarnation = Some(header.src_incarnation);
+                TrafficKind::of(&header.message)
+            }
+            Err(_) => TrafficKind::Probe,
+        };
         self.messages.push(EngineMessage { to: to.address, kind, payload: data.to_vec() });
     }
 
--- a/src/peers/membership/mod.rs
+++ b/src/peers/membership/mod.rs
@@ -15,6 +15,7 @@
 mod pacing;
 pub(super) mod repair;
 mod settings;
+mod suspicion;
 mod timers;
 mod traffic;
 mod view;
@@ -42,9 +43,10 @@
 use gossip::{ChangeRate, GossipPlan};
 use inbound::{InboundMessage, MemberUpdate};
 use joining::{Acquaintance, Joining};
-use members::{Member, MemberTable};
+use members::{Member, MemberTable, Word};
 use pacing::{Pace, Pacing};
 use repair::{LocalView, Repair, RepairMessage, RepairOutcome};
+use suspicion::OwnSuspicions;
 use timers::{TimerEvent, TimerQueue};
 
 /// Peers that are held at the most; datagrams of others are dropped.
@@ -56,7 +58,7 @@
 /// Peers whose view differed when they were last heard are asked to compare; so many at once. While much changes, each
 /// comparison brings much, and others at the same time would bring the same.
 const COMPARE_WIDTH: usize = 8;
-const COMPARE_WIDTH_IN_BURST: usize = 1;
+const COMPARE_WIDTH_IN_BURST: usize = 2;
 
 /// One process's part in the membership.
 pub(super) struct Membership {
@@ -71,6 +73,9 @@
     members: MemberTable,
     /// The engine may suspect others than the table says.
     suspicions_changed: bool,
+    own_suspicions: OwnSuspicions,
+    /// Of this process, as the engine last told it.
+    incarnation: foca::Incarnation,
     joining: Joining,
     agreement: AgreementTracker,
     count: Count,
@@ -105,6 +110,8 @@
             timers: TimerQueue::default(),
             members,
             suspicions_changed: false,
+            own_suspicions: OwnSuspicions::default(),
+            incarnation: 0,
             joining: Joining::new(config.seeds.clone()),
             agreement: AgreementTracker::new(now, memory),
             count: Count::new(config.count, config.nodes),
@@ -183,16 +190,19 @@
         let sender_is_gone = self.members.get(&source.address).is_some_and(is_gone);
         // The engine would not take them from one that it holds for gone, nor what was meant for another life.
         let accepted = message.header.dst == *self.me() && !sender_is_gone;
-        let word = members::Word { incarnation: message.header.src_incarnation, suspected: false };
-        self.suspicions_changed |= self.members.hear_word(source, word);
-        let payload = message.without_updates();
-        if accepted && !message.updates.is_empty() {
-            let mut effects = EngineEffects::default();
-            // A list of members is news to its reader alone.
-            let pass_on = message.header.message != foca::Message::Feed;
-            self.apply_updates(message.updates, pass_on, &mut effects);
-            self.apply(now, effects, out);
+        if accepted {
+            let word = Word { incarnation: message.header.src_incarnation, suspected: false };
+            self.suspicions_changed |= self.members.hear_word(source, word);
         }
+        let payload = message.without_updates();
+        // A list of members is news to its reader alone.
+        let pass_on = message.header.message != foca::Message::Feed;
+        let own = self.me().address;
+        let updates = if accepted { message.updates } else { Vec::new() };
+        let (of_me, of_others): (Vec<_>, Vec<_>) =
+            updates.into_iter().partition(|update| update.id().address == own);
+        // A word on this node goes first: the answer to the message clears it.
+        self.apply_updates(now, of_me, pass_on, out);
         let mut effects = EngineEffects::default();
         let handled = self.engine.handle_data(&payload, &mut effects);
         let answers = std::mem::take(&mut effects.messages);
@@ -200,23 +210,31 @@
         // What is answered depends on what its reader reads.
         self.members.heard(&message.header.src.address, schema);
         self.send(now, answers, out);
+        // Farewells rode on the message: those that they are of are known for having left.
+        self.apply_updates(now, of_others, pass_on, out);
         handled.map_err(|_| DropReason::Malformed)
     }
 
     /// Gives the engine words that may be news. Those beyond what may wait to be passed on are left to repair.
-    fn apply_updates(&mut self, updates: Vec<MemberUpdate>, pass_on: bool, effects: &mut EngineEffects) {
+    fn apply_updates(
+        &mut self,
+        now: Micros,
+        updates: Vec<MemberUpdate>,
+        pass_on: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let mut effects = EngineEffects::default();
         for update in updates {
-            let room = self.members.len() < MOST_PEERS;
-            if !room && self.members.get(&update.id().address).is_none() {
-                continue;
-            }
-            if inbound::is_news(&mut self.members, &update) {
+            let known = self.members.get(&update.id().address).is_some();
+            let room = known || self.members.len() < MOST_PEERS;
+            if room && inbound::is_news(&mut self.members, &update) {
                 self.suspicions_changed |= update.state() != State::Down;
                 let pass_on = pass_on && self.engine.updates_backlog() < self.plan.backlog;
                 // Errors would be of its size alone.
-                let _ = self.engine.apply_many([update].into_iter(), pass_on, &mut *effects);
+                let _ = self.engine.apply_many([update].into_iter(), pass_on, &mut effects);
             }
         }
+        self.apply(now, effects, out);
     }
 
     /// A datagram with extensions alone: it tells its sender's digest, where that one is present.
@@ -278,8 +296,8 @@
         for messages in outcome.answers {
             self.send_repair(now, from, Pace::Answer, messages, out);
         }
-        for messages in outcome.offers {
-            self.send_repair(now, from, Pace::Comparison, messages, out);
+        for messages in outcome.lists {
+            self.send_repair(now, from, Pace::Listing, messages, out);
         }
         let mut updates = Vec::new();
         for (peer, left) in outcome.gone {
@@ -294,15 +312,8 @@
         if updates.is_empty() {
             return;
         }
-        let mut effects = EngineEffects::default();
-        for update in updates {
-            let room = self.members.len() < MOST_PEERS || self.members.get(&update.id().address).is_some();
-            if room && inbound::is_news(&mut self.members, &update) {
-                // Others pull it as well: it is not passed on. Errors would be of its size alone.
-                let _ = self.engine.apply_many([update].into_iter(), false, &mut effects);
-            }
-        }
-        self.apply(now, effects, out);
+        // Others pull it as well: it is not passed on.
+        self.apply_updates(now, updates, false, out);
         for peer in peers {
             let taken =
                 self.members.get(&peer.address).is_some_and(|held| held.is_counted() && held.peer == peer);
@@ -394,6 +405,9 @@
             Timer::ChangeSuspectToDown { member_id, .. } => Some(member_id.address),
             _ => None,
         };
+        if let Some(suspect) = &suspect {
+            self.own_suspicions.remove(suspect);
+        }
         // An error is a probe whose timers came out of order, after a sleep: the next one begins anew.
         let _ = self.engine.handle_timer(timer, &mut effects);
         if !effects.takes_away() {
@@ -482,8 +496,12 @@
     /// Carries out what the engine asked for.
     fn apply(&mut self, now: Micros, effects: EngineEffects, out: &mut Vec<Output>) {
         let changed = effects.changes_members();
+        self.incarnation = effects.incarnation.unwrap_or(self.incarnation);
         for (after, timer) in effects.timers {
-            self.suspicions_changed |= matches!(timer, Timer::ChangeSuspectToDown { .. });
+            if let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = &timer {
+                self.suspicions_changed = true;
+                self.own_suspicions.add(member_id.clone(), *incarnation);
+            }
             self.timers.add(now + after.as_micros() as Micros, TimerEvent::Engine(timer));
         }
         if effects.rejoined {
@@ -610,10 +628,13 @@
         let width = if self.changes.is_burst(now) { COMPARE_WIDTH_IN_BURST } else { COMPARE_WIDTH };
         for address in among.into_iter().take(width) {
             self.agreement.asked(now, &address);
-            if self.reads_extensions(&address) {
-                self.send_repair(now, address, Pace::Comparison, vec![RepairMessage::Compare], out);
-            } else {
-                self.ask_for_list(now, address, out);
+            match self.members.get(&address).map(|held| held.schema) {
+                Some(schema) if schema >= EXTENSIONS_SINCE => {
+                    self.send_repair(now, address, Pace::Comparison, vec![RepairMessage::Compare], out);
+                }
+                Some(1) => self.ask_for_list(now, address, out),
+                // One that was not heard yet will be.
+                _ => {}
             }
         }
     }
@@ -635,6 +656,7 @@
         self.follow_change_rate(now);
         self.follow_suspicions(now, out);
         self.follow_farewells(now, out);
+        self.tell_suspects(now, out);
         self.agreement.expire(now);
         self.repair.expire(now);
         self.judge(now, out);
@@ -683,6 +705,22 @@
         }
     }
 
+    /// Tells those whom this node suspects, so that they can clear themselves.
+    fn tell_suspects(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let members = &self.members;
+        self.own_suspicions.retain(|peer| {
+            let held = members.get(&peer.address).filter(|held| held.peer == *peer);
+            held.is_some_and(|held| held.standing == Standing::Suspected)
+        });
+        let notices = self.own_suspicions.notices(now, self.engine.identity(), self.incarnation);
+        let messages = notices.into_iter().map(|notice| EngineMessage {
+            to: notice.to,
+            kind: TrafficKind::Probe,
+            payload: notice.payload,
+        });
+        self.send(now, messages.collect(), out);
+    }
+
     /// A farewell may come after the word that its peer is gone.
     fn follow_farewells(&mut self, now: Micros, out: &mut Vec<Output>) {
         let received = self.farewells.received();
--- a/src/peers/membership/pacing.rs
+++ b/src/peers/membership/pacing.rs
@@ -25,7 +25,9 @@
 pub(super) enum Pace {
     /// It begins a comparison; the first to wait.
     Comparison,
-    /// It answers: what came before it is lost without it.
+    /// It lists lives: what it brings is asked for by shorter messages.
+    Listing,
+    /// It asks for records, brings them, or says who is gone: what came before it is lost without it.
     Answer,
     /// It tells a digest to one that asked; the first of all to wait, as any later datagram tells it too.
     Spare,
@@ -35,6 +37,7 @@
     fn class(self) -> TrafficClass {
         match self {
             Self::Comparison | Self::Spare => TrafficClass::Repair,
+            Self::Listing => TrafficClass::Log,
             Self::Answer => TrafficClass::Configuration,
         }
     }
--- a/src/peers/membership/repair.rs
+++ b/src/peers/membership/repair.rs
@@ -39,7 +39,11 @@
 /// A life that the engine refused, as it knows it for gone, is not asked for again for so long.
 const REFUSED_FOR: Micros = 30_000_000;
 /// Comparisons are answered with digests this often at the most: where all differ from one, it need not hear it from all.
-const ANSWER_EVERY: Micros = 150_000;
+const ANSWER_EVERY: Micros = 100_000;
+/// Where much differs from several peers, one of them at a time is told all of it: each would bring the same.
+const LONG_LIST_EVERY: Micros = 100_000;
+/// A list of no more lives is not long.
+const SHORT_LIST: usize = 30;
 /// Renewals of an identity that are tried to find a life that is not known by its tag.
 const RENEWALS: usize = 3;
 
@@ -125,8 +129,8 @@
 pub(super) struct RepairOutcome {
     /// Messages in answer, each list for a datagram of its own.
     pub answers: Vec<Vec<RepairMessage>>,
-    /// Messages that may wait for another comparison.
-    pub offers: Vec<Vec<RepairMessage>>,
+    /// Lists of lives, which may wait for another comparison.
+    pub lists: Vec<Vec<RepairMessage>>,
     /// Members that are present.
     pub alive: Vec<Record>,
     /// Members that are gone, and whether they said farewell.
@@ -180,11 +184,18 @@
     not_before: HashMap<LifeTag, Micros>,
     /// Digests are not told again until then.
     answers_from: Micros,
+    /// A long list of lives is not sent again until then.
+    lists_from: Micros,
 }
 
 impl Repair {
     pub fn new(seed: u64) -> Self {
-        Self { random: fastrand::Rng::with_seed(seed), not_before: HashMap::new(), answers_from: 0 }
+        Self {
+            random: fastrand::Rng::with_seed(seed),
+            not_before: HashMap::new(),
+            answers_from: 0,
+            lists_from: 0,
+        }
     }
 
     /// Forgets what no longer holds.
@@ -218,7 +229,7 @@
     pub fn receive(&mut self, now: Micros, view: LocalView, message: RepairMessage) -> RepairOutcome {
         match message {
             RepairMessage::Compare => RepairOutcome::default(),
-            RepairMessage::Digests(digests) => self.compare_digests(view, &digests),
+            RepairMessage::Digests(digests) => self.compare_digests(now, view, &digests),
             RepairMessage::Lives(lives) if lives.is_valid() => self.compare_lives(now, view, &lives),
             RepairMessage::Wanted(lives) if lives.is_valid() => send_records(view, &lives),
             RepairMessage::Offered(lives) if lives.is_valid() => self.take_offer(now, view, &lives),
@@ -229,7 +240,7 @@
     }
 
     /// Lists the nodes of parts that differ, from a random one on: another comparison lists others.
-    fn compare_digests(&mut self, view: LocalView, theirs: &PartDigests) -> RepairOutcome {
+    fn compare_digests(&mut self, now: Micros, view: LocalView, theirs: &PartDigests) -> RepairOutcome {
         let (partition, mut outcome) = (theirs.partition, RepairOutcome::default());
         if !partition.is_valid() || theirs.digests.len() != usize::from(partition.parts()) {
             return outcome;
@@ -252,8 +263,12 @@
             listed += tags.len() + 1;
             lives.parts.push(PartLives { part, lives: tags });
         }
-        if !lives.parts.is_empty() {
-            outcome.answers.push(vec![RepairMessage::Lives(lives)]);
+        let is_long = listed > SHORT_LIST;
+        if !lives.parts.is_empty() && !(is_long && now < self.lists_from) {
+            if is_long {
+                self.lists_from = now + LONG_LIST_EVERY;
+            }
+            outcome.lists.push(vec![RepairMessage::Lives(lives)]);
         }
         outcome
     }
@@ -271,7 +286,7 @@
         let (mut outcome, messages) = self.take_lives(now, view, theirs);
         outcome.answer(messages);
         if offered.len() > 0 {
-            outcome.offers.push(vec![RepairMessage::Offered(offered)]);
+            outcome.lists.push(vec![RepairMessage::Offered(offered)]);
         }
         outcome
     }
--- a/src/peers/membership/repair/tests.rs
+++ b/src/peers/membership/repair/tests.rs
@@ -61,12 +61,12 @@
             let standing = if left { Standing::Left } else { Standing::Lost };
             self.members.set(now, &peer, standing);
         }
-        for datagram in outcome.answers.iter().chain(&outcome.offers) {
+        for datagram in outcome.answers.iter().chain(&outcome.lists) {
             let bytes: usize = datagram.iter().map(encoded_length).sum();
             assert!(bytes <= MESSAGE_BYTES, "{bytes} bytes in one datagram");
             self.bytes += bytes;
         }
-        outcome.answers.into_iter().chain(outcome.offers).flatten().collect()
+        outcome.answers.into_iter().chain(outcome.lists).flatten().collect()
     }
 }
 
--- /dev/null
+++ b/src/peers/membership/suspicion/tests.rs
@@ -0,0 +1,34 @@
+use super::*;
+use crate::peers::membership::inbound::InboundMessage;
+
+fn peer(host: u8) -> Peer {
+    let address = SocketAddr::from(([10, 0, 0, host], 7_946));
+    Peer { address, order: 1, salt: 1, observer: false, name: format!("n{host}"), more: Vec::new() }
+}
+
+fn told(suspicions: &mut OwnSuspicions, now: Micros) -> Vec<SocketAddr> {
+    suspicions.notices(now, &peer(1), 3).into_iter().map(|notice| notice.to).collect()
+}
+
+#[test]
+fn a_notice_is_a_probe_with_the_suspicion() {
+    let mut suspicions = OwnSuspicions::default();
+    suspicions.add(peer(2), 7);
+    let notice = suspicions.notices(0, &peer(1), 3).remove(0);
+    let message = InboundMessage::decode(&notice.payload).unwrap();
+    let expected = Header { src: peer(1), src_incarnation: 3, dst: peer(2), message: Message::Ping(0) };
+    assert_eq!((notice.to, message.header), (peer(2).address, expected));
+    assert_eq!(message.updates, [Member::new(peer(2), 7, State::Suspect)]);
+}
+
+#[test]
+fn suspects_are_told_in_turn_until_they_are_none() {
+    let mut suspicions = OwnSuspicions::default();
+    (2..5).for_each(|host| suspicions.add(peer(host), 0));
+    assert_eq!(told(&mut suspicions, 0), [peer(2).address, peer(3).address]);
+    assert_eq!(told(&mut suspicions, 1), [peer(4).address]);
+    assert_eq!(told(&mut suspicions, 2), []);
+    suspicions.remove(&peer(2).address);
+    suspicions.retain(|suspect| *suspect != peer(3));
+    assert_eq!(told(&mut suspicions, TELL_EVERY + 1), [peer(4).address]);
+}
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -134,3 +134,6 @@
         self.membership.view(now)
     }
 }
+
+#[cfg(test)]
+mod tests;
