--- a/src/peers/membership/repair.rs
+++ b/src/peers/membership/repair.rs
@@ -264,12 +264,13 @@
             lives.parts.push(PartLives { part, lives: tags });
         }
         let is_long = listed > SHORT_LIST;
-        if !lives.parts.is_empty() && !(is_long && now < self.lists_from) {
-            if is_long {
-                self.lists_from = now + LONG_LIST_EVERY;
-            }
-            outcome.lists.push(vec![RepairMessage::Lives(lives)]);
+        if lives.parts.is_empty() || (is_long && now < self.lists_from) {
+            return outcome;
+        }
+        if is_long {
+            self.lists_from = now + LONG_LIST_EVERY;
         }
+        outcome.lists.push(vec![RepairMessage::Lives(lives)]);
         outcome
     }
 
