--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -13,10 +13,14 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use walkpick_lab::capacity::{PageError, PlanError};
+use walkpick_lab::cluster::cases::NotApplicable;
+use walkpick_lab::commands::{capacity, hollow, measure, membership, scale, slopes, UnknownName};
 use walkpick_lab::experiment::{self, Arm, Driver, Experiment, ExperimentError, Policy, What};
 use walkpick_lab::judge::{self, Result as Run};
-use walkpick_lab::membership::{Case, CASES};
 use walkpick_lab::real::{self, process, Options, RealError};
+use walkpick_lab::scale::{RunOptions, ScaleExperiment};
+use walkpick_lab::slopes::SlopesError;
 use walkpick_lab::world::World;
 use walkpick_lab::{model, report};
 
@@ -36,7 +40,21 @@
     /// Run an experiment with real nodes and in simulated time on the same seeds, and tell how far apart they lie
     Calibrate(CalibrateArgs),
     /// Run cases of membership among any number of peers in simulated time
-    Membership(MembershipArgs),
+    Membership(membership::MembershipArgs),
+    /// Work out from a plan and the slopes what each role needs, and keep the page true
+    Capacity(capacity::CapacityArgs),
+    /// Take measured series into the slopes file, or show it
+    Slopes(slopes::SlopesArgs),
+    /// Run the control part of many nodes in few processes, on real sockets in real time
+    Hollow(hollow::HollowArgs),
+    /// Become a process of hollow nodes, which the lab talks to
+    #[command(hide = true)]
+    HollowProcess,
+    /// Measure what grows with the fleet, as series for the capacity page
+    Measure(measure::MeasureArgs),
+    /// Be a child of `measure`
+    #[command(hide = true, subcommand)]
+    MeasureChild(measure::Child),
     /// Run again what a JSON of results came from, and tell whether the same comes out
     Replay {
         /// What `run --json` wrote
@@ -134,28 +152,6 @@
     how: How,
 }
 
-#[derive(Debug, Args)]
-struct MembershipArgs {
-    /// Which cases; all where none is given
-    #[arg(long, value_delimiter = ',')]
-    case: Vec<Case>,
-    /// Numbers of nodes
-    #[arg(long, value_delimiter = ',', default_value = "50")]
-    nodes: Vec<usize>,
-    /// Parts of the datagrams that are lost
-    #[arg(long, value_delimiter = ',', default_value = "0")]
-    loss: Vec<f64>,
-    /// How many seeds
-    #[arg(long, default_value_t = 3)]
-    seeds: u64,
-    /// How long nothing happens in the case of calm
-    #[arg(long, default_value = "1m", value_parser = humantime::parse_duration)]
-    calm: Duration,
-    /// Write JSON
-    #[arg(long)]
-    json: bool,
-}
-
 #[derive(Debug, Args)]
 struct CalibrateArgs {
     /// The experiment
@@ -208,7 +204,13 @@
         Command::Run(args) => run(&args),
         Command::Compare(args) => compare(&args),
         Command::Calibrate(args) => calibrate(&args),
-        Command::Membership(args) => membership(&args).map(|()| true),
+        Command::Membership(args) => membership::run(&args),
+        Command::Capacity(args) => capacity::run(&args),
+        Command::Slopes(args) => slopes::run(&args),
+        Command::Hollow(args) => hollow::run(&args),
+        Command::HollowProcess => hollow::run_process(),
+        Command::Measure(args) => measure::run(&args),
+        Command::MeasureChild(child) => measure::child(&child),
         Command::Replay { file, how } => replay(&file, &how),
         Command::Init { file } => init(&file).map(|()| true),
         Command::List { folder } => list(&folder).map(|()| true),
@@ -223,20 +225,24 @@
             for line in error.to_string().lines() {
                 eprintln!("walkpick-lab: {line}");
             }
-            match error.downcast_ref::<ExperimentError>() {
-                Some(_) => ExitCode::from(BAD_INPUT),
-                None if error.downcast_ref::<UnknownName>().is_some() => ExitCode::from(BAD_INPUT),
-                None => ExitCode::FAILURE,
+            if bad_input(error.as_ref()) {
+                ExitCode::from(BAD_INPUT)
+            } else {
+                ExitCode::FAILURE
             }
         }
     }
 }
 
-#[derive(Debug, thiserror::Error)]
-#[error("found \"{found}\", expected one of {expected}")]
-struct UnknownName {
-    found: String,
-    expected: String,
+/// Whether what was given is at fault.
+fn bad_input(error: &(dyn Error + 'static)) -> bool {
+    error.is::<ExperimentError>()
+        || error.is::<UnknownName>()
+        || error.is::<NotApplicable>()
+        || error.is::<SlopesError>()
+        || error.is::<slopes::SeriesFaults>()
+        || error.is::<PlanError>()
+        || error.is::<PageError>()
 }
 
 type Done = Result<bool, Box<dyn Error>>;
@@ -320,7 +326,7 @@
             let folder = folder.join(format!("walkpick-lab-{}-{name}-{seed}", std::process::id()));
             let lab = std::env::current_exe().unwrap_or_else(|_| "walkpick-lab".into());
             let program = how.node.clone().unwrap_or_else(|| lab.with_file_name("walkpick"));
-            let options = Options { program, lab, folder, lateness: how.lateness };
+            let options = Options { program, lab, folder, lateness: how.lateness, company: None };
             let run = real::run(experiment, name, arm, seed, &options, stop, &told);
             if how.logs.is_none() && run.is_ok() {
                 // What is left behind is a folder of the system's for such things.
@@ -344,7 +350,26 @@
     }
 }
 
+fn run_scale(experiment: &ScaleExperiment, args: &RunArgs) -> Done {
+    if args.arm.is_some() || args.report.is_some() || args.how.driver.is_some() {
+        let found = "--arm, --report or --driver".to_owned();
+        let expected = format!("none of them with an experiment that has [{}]", experiment.kind.table);
+        return Err(UnknownName { found, expected }.into());
+    }
+    let options = RunOptions {
+        seeds: args.seed..args.seed + args.seeds,
+        jobs: args.jobs,
+        node: args.how.node.clone(),
+        logs: args.how.logs.clone(),
+        lateness: args.how.lateness,
+    };
+    scale::run(experiment, &options, args.json.as_deref())
+}
+
 fn run(args: &RunArgs) -> Done {
+    if let Some(experiment) = ScaleExperiment::load(&args.file)? {
+        return run_scale(&experiment, args);
+    }
     let experiment = Experiment::load(&args.file)?;
     let arms = match &args.arm {
         Some(arm) => vec![known_arm(&experiment, arm)?],
@@ -510,80 +535,6 @@
     Ok(same && void.is_empty())
 }
 
-fn membership(args: &MembershipArgs) -> Result<(), Box<dyn Error>> {
-    let cases = if args.case.is_empty() { CASES.to_vec() } else { args.case.clone() };
-    let mut wanted = Vec::new();
-    for &nodes in &args.nodes {
-        if !(2..=20_000).contains(&nodes) {
-            return Err(UnknownName { found: nodes.to_string(), expected: "2 to 20000 nodes".into() }.into());
-        }
-        for &loss in &args.loss {
-            for &case in &cases {
-                wanted.extend((1..=args.seeds).map(|seed| (case, nodes, loss, seed)));
-            }
-        }
-    }
-    let (next, done) = (AtomicUsize::new(0), Mutex::new(BTreeMap::new()));
-    let bar = ProgressBar::new(wanted.len() as u64);
-    std::thread::scope(|scope| {
-        for _ in 0..std::thread::available_parallelism().map_or(1, usize::from) {
-            scope.spawn(|| loop {
-                let place = next.fetch_add(1, Ordering::Relaxed);
-                let Some(&(case, nodes, loss, seed)) = wanted.get(place) else { return };
-                let found = walkpick_lab::membership::run(case, nodes, loss, seed, model::micros(args.calm));
-                if let Ok(mut done) = done.lock() {
-                    done.insert(place, found);
-                }
-                bar.inc(1);
-            });
-        }
-    });
-    bar.finish_and_clear();
-    let found: Vec<_> = done.into_inner().unwrap_or_default().into_values().collect();
-    let mut out = io::stdout().lock();
-    if args.json {
-        return Ok(writeln!(out, "{}", serde_json::to_string_pretty(&found)?)?);
-    }
-    writeln!(
-        out,
-        "{:6} {:>5} {:>5} {:>4} {:>7} {:>8} {:>8} {:>8} {:>8} {:>6} {:>6} {:>6} {:>8}",
-        "case",
-        "nodes",
-        "loss",
-        "seed",
-        "met",
-        "known50",
-        "known99",
-        "differ",
-        "whole",
-        "false",
-        "back",
-        "parts",
-        "B/s"
-    )?;
-    for found in &found {
-        let time = |time: Option<f64>| time.map_or_else(|| "-".to_owned(), |time| format!("{time:.1}"));
-        writeln!(
-            out,
-            "{:6} {:>5} {:>5} {:>4} {:>7} {:>8} {:>8} {:>8} {:>8} {:>6} {:>6} {:>6.2} {:>8.0}",
-            format!("{:?}", found.case).to_lowercase(),
-            found.nodes,
-            found.loss,
-            found.seed,
-            time(found.met_s),
-            time(found.known_p50_s),
-            time(found.known_p99_s),
-            time(found.differ_s),
-            time(found.whole_s),
-            found.false_words,
-            found.came_back,
-            found.parts,
-            found.bytes_per_s,
-        )?;
-    }
-    Ok(())
-}
-
 fn replay(file: &Path, how: &How) -> Done {
     let fault = |place: String, what: String| ExperimentError::Faulty {
         path: file.to_owned(),
@@ -661,6 +612,17 @@
     files.sort();
     let mut out = io::stdout().lock();
     for path in files.iter().filter(|path| path.extension().is_some_and(|end| end == "toml")) {
+        match ScaleExperiment::load(path) {
+            Ok(Some(experiment)) => {
+                writeln!(out, "{:24} {}", experiment.name, experiment.about)?;
+                continue;
+            }
+            Err(error) => {
+                writeln!(out, "{:24} cannot be run: {error}", path.display())?;
+                continue;
+            }
+            Ok(None) => {}
+        }
         match Experiment::load(path) {
             Ok(experiment) => writeln!(out, "{:24} {}", experiment.name, experiment.about)?,
             Err(error) => writeln!(out, "{:24} cannot be run: {error}", path.display())?,
@@ -670,6 +632,9 @@
 }
 
 fn explain(file: &Path) -> Result<(), Box<dyn Error>> {
+    if let Some(experiment) = ScaleExperiment::load(file)? {
+        return scale::explain(&experiment);
+    }
     let experiment = Experiment::load(file)?;
     let mut out = io::stdout().lock();
     writeln!(out, "{}: {}\n\n{}", experiment.name, experiment.about, toml::to_string_pretty(&experiment)?)?;
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //! twice, and the count of nodes that may be relied on. `docs/membership.md` tells it all.
 
 mod budget;
+pub mod dissemination;
 mod envelope;
 mod identity;
 mod membership;
