--- a/lab/src/cluster/mod.rs
+++ b/lab/src/cluster/mod.rs
@@ -11,6 +11,6 @@
 pub use links::LinkConditions;
 pub use processor::ProcessorMeter;
 pub use record::{AgreementChange, StandingChange};
-pub use simulated::{address, SimulatedCluster};
+pub use simulated::{address, Disseminated, SimulatedCluster};
 pub use topology::{Location, Topology};
 pub use traffic::{Traffic, TrafficMeter, TrafficRates};
--- a/lab/src/cluster/simulated.rs
+++ b/lab/src/cluster/simulated.rs
@@ -9,6 +9,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap};
 use std::net::{Ipv4Addr, SocketAddr};
+use walkpick::peers::dissemination::{DisseminationOutput, StateKey};
 use walkpick::peers::{Agreement, Output, Peer, Peers, PeersConfig, Standing, View};
 
 /// Unix time at the start, in microseconds.
@@ -69,6 +70,21 @@
     pub last_rejoined: usize,
     /// Nodes that gave their name up.
     pub yielded: Vec<usize>,
+    /// Bytes by tenths of a second, where somebody wants them.
+    pub sent_by_slot: Option<crate::dissemination::traffic::Traffic>,
+    /// What dissemination told, where it is configured.
+    pub disseminated: Vec<Disseminated>,
+}
+
+/// What a node's dissemination told.
+#[derive(Clone, Debug)]
+pub struct Disseminated {
+    /// When.
+    pub at: Micros,
+    /// Which node.
+    pub node: usize,
+    /// What.
+    pub output: DisseminationOutput,
 }
 
 /// Where a node listens.
@@ -118,6 +134,8 @@
             rejoined: 0,
             last_rejoined: 0,
             yielded: Vec::new(),
+            sent_by_slot: None,
+            disseminated: Vec::new(),
         }
     }
 
@@ -147,6 +165,7 @@
 
     /// Starts a node under a name of its own.
     pub fn start_as(&mut self, node: usize, name: &str) {
+        let more = self.encoded_location(node);
         let state = &mut self.nodes[node];
         state.incarnation += 1;
         let order = (EPOCH + self.now).saturating_add_signed(state.clock_offset_us);
@@ -157,7 +176,7 @@
             salt,
             observer: false,
             name: name.to_owned(),
-            more: Vec::new(),
+            more,
         };
         let seed =
             draw::unit(self.seed, draw::Stream::Lists, (node as u64) << 32 | u64::from(state.incarnation))
@@ -168,6 +187,21 @@
         self.schedule_timers(node);
     }
 
+    /// Where a node says that it runs: told where dissemination needs it.
+    fn encoded_location(&self, node: usize) -> Vec<u8> {
+        if self.config.dissemination.is_none() {
+            return Vec::new();
+        }
+        let location = self.topology.location(node);
+        let (region, zone, site) = (location.region, location.zone, location.site);
+        walkpick::peers::Location {
+            region: format!("r{region}"),
+            zone: format!("z{zone}"),
+            site: format!("s{site}"),
+        }
+        .encode()
+    }
+
     /// Ends a process without a farewell.
     pub fn kill(&mut self, node: usize) {
         self.nodes[node].peers = None;
@@ -337,10 +371,42 @@
                 Output::NameClaimed { yields: true, .. } => self.yielded.push(node),
                 Output::NameClaimed { .. } => {}
                 Output::CameBack => (self.rejoined, self.last_rejoined) = (self.rejoined + 1, node),
+                Output::Dissemination(output) => self.note_disseminated(node, output),
             }
         }
     }
 
+    /// Keeps what dissemination told. Whatever state is offered is taken.
+    fn note_disseminated(&mut self, node: usize, output: DisseminationOutput) {
+        if let DisseminationOutput::StateOffered { publisher, entry } = output {
+            let key = StateKey { publisher, kind: entry.kind };
+            self.with_peers(node, |peers, now, out| {
+                peers.decide_state(now, key, entry.epoch, entry.sequence, Ok(()), out);
+            });
+        } else {
+            self.disseminated.push(Disseminated { at: self.now, node, output });
+        }
+    }
+
+    /// Has a node's peers do something, and carries out what they ask for; none where no process runs there.
+    pub fn with_peers<T>(
+        &mut self,
+        node: usize,
+        act: impl FnOnce(&mut Peers, Micros, &mut Vec<Output>) -> T,
+    ) -> Option<T> {
+        let mut out = Vec::new();
+        let now = self.now;
+        let result = self.nodes[node].peers.as_mut().map(|peers| act(peers, now, &mut out));
+        self.perform(node, out);
+        self.schedule_timers(node);
+        result
+    }
+
+    /// A node's peers.
+    pub fn peers(&self, node: usize) -> Option<&Peers> {
+        self.nodes[node].peers.as_ref()
+    }
+
     fn note_standing(&mut self, observer: usize, peer: &Peer, standing: Standing) {
         let Some(subject) = node_at(peer.address).filter(|node| *node < self.nodes.len()) else { return };
         // Who joins is seen by everybody at once: views tell of that.
@@ -362,6 +428,9 @@
 
     fn send(&mut self, from: usize, to: SocketAddr, data: Vec<u8>) {
         self.traffic.sent(from, data.len());
+        if let Some(sent) = &mut self.sent_by_slot {
+            sent.sent(self.now, from, data.len());
+        }
         let Some(to) = node_at(to).filter(|node| *node < self.nodes.len()) else { return };
         if self.cut(from, to) || self.random.random::<f64>() < self.links.loss {
             return;
--- a/lab/src/dissemination/cluster.rs
+++ b/lab/src/dissemination/cluster.rs
@@ -200,18 +200,8 @@
     /// The sums of all nodes' counters; `most_waiting` is the largest.
     pub fn counters(&self) -> DisseminationCounters {
         let mut all = DisseminationCounters::default();
-        for one in self.nodes.iter().filter_map(|node| node.core.as_ref()).map(Dissemination::counters) {
-            all.malformed += one.malformed;
-            all.oversized += one.oversized;
-            all.foreign += one.foreign;
-            all.later_schema += one.later_schema;
-            all.duplicates += one.duplicates;
-            all.fenced += one.fenced;
-            all.refused += one.refused;
-            all.given_up += one.given_up;
-            all.repaired += one.repaired;
-            all.most_waiting = all.most_waiting.max(one.most_waiting);
-        }
+        let cores = self.nodes.iter().filter_map(|node| node.core.as_ref());
+        cores.map(Dissemination::counters).for_each(|one| all.add(&one));
         all
     }
 
--- a/lab/src/dissemination/mod.rs
+++ b/lab/src/dissemination/mod.rs
@@ -2,6 +2,7 @@
 //! with a network of datagrams between them and a membership that is told what happens. The same seed gives the same run.
 
 pub mod cluster;
+pub mod joint;
 pub mod ledger;
 pub mod scenario;
 pub mod topology;
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -165,6 +165,6 @@
             error!(target: "peers", %address, yields, "another process claims this node's name");
         }
         Output::CameBack => warn!(target: "peers", "others took this node for gone; it is back"),
-        Output::Send { .. } => {}
+        Output::Send { .. } | Output::Dissemination(_) => {}
     }
 }
--- a/src/peers/dissemination/mod.rs
+++ b/src/peers/dissemination/mod.rs
@@ -53,6 +53,8 @@
     pub largest_datagram: usize,
     /// What each datagram costs beside its own bytes, where it is sent in an envelope.
     pub overhead: usize,
+    /// What a node may send for control in a second, membership included. Who drives the core keeps to it.
+    pub control_bytes_per_second: u32,
     /// A publisher is told who has not applied an entry after this time. Entries are applied within 2.4 s; a node that
     /// lags is named by the one above it after 4 s ([`asking::LAG`]), and that word takes up to 2 s more up the tree.
     pub acknowledge_within: Duration,
@@ -66,6 +68,7 @@
             cluster: "walkpick".to_owned(),
             largest_datagram: 1_136,
             overhead: 60,
+            control_bytes_per_second: 16_384,
             acknowledge_within: Duration::from_secs(6),
             stale_after: Duration::from_secs(10),
         }
@@ -192,6 +195,22 @@
     pub most_waiting: u64,
 }
 
+impl DisseminationCounters {
+    /// Adds another node's; of what waited the larger counts.
+    pub fn add(&mut self, other: &Self) {
+        self.malformed += other.malformed;
+        self.oversized += other.oversized;
+        self.foreign += other.foreign;
+        self.later_schema += other.later_schema;
+        self.duplicates += other.duplicates;
+        self.fenced += other.fenced;
+        self.refused += other.refused;
+        self.given_up += other.given_up;
+        self.repaired += other.repaired;
+        self.most_waiting = self.most_waiting.max(other.most_waiting);
+    }
+}
+
 /// One node's part in dissemination.
 #[derive(Debug)]
 pub struct Dissemination {
--- a/src/peers/membership/mod.rs
+++ b/src/peers/membership/mod.rs
@@ -79,6 +79,7 @@
     repair: Repair,
     pacing: Pacing,
     traffic: Traffic,
+    replaced: Vec<Peer>,
     /// It has left, or gave its name up.
     left: bool,
 }
@@ -113,6 +114,7 @@
             repair: Repair::new(seed.rotate_left(32)),
             pacing: Pacing::new(now),
             traffic: Traffic::default(),
+            replaced: Vec::new(),
             left: false,
             config,
             me,
@@ -323,6 +325,16 @@
         self.members.get(address).is_some_and(|held| held.schema >= EXTENSIONS_SINCE)
     }
 
+    /// Peers of which another life took the place since this was last asked, where the standing stayed the same.
+    pub fn take_replaced(&mut self) -> Vec<Peer> {
+        std::mem::take(&mut self.replaced)
+    }
+
+    /// A datagram with one extension, for one that is known to read it.
+    pub fn extension_datagram(&self, extension: Extension) -> Option<Vec<u8>> {
+        self.datagram(&[], &[Extension::Sender(LifeId::from(self.me())), extension])
+    }
+
     /// Sends extensions without a message of the engine, to one that reads them; whether that was possible.
     #[allow(dead_code)] // The parts that share the socket send by it.
     pub fn send_extensions(&self, to: SocketAddr, extensions: Vec<Extension>, out: &mut Vec<Output>) -> bool {
@@ -495,6 +507,7 @@
             match change {
                 MemberChange::Replaced(peer) => {
                     self.members.replace(&peer);
+                    self.replaced.push(peer.clone());
                     arrived.push(peer);
                 }
                 MemberChange::Down(peer) => {
--- a/src/peers/membership/settings.rs
+++ b/src/peers/membership/settings.rs
@@ -6,6 +6,7 @@
 
 use super::count::CountRules;
 use super::gossip::GossipPlan;
+use crate::peers::dissemination::DisseminationConfig;
 use crate::peers::envelope;
 
 /// With more than this part of its nodes suspected, a node trusts its own eyes less: suspects have longer to speak up, as
@@ -33,6 +34,8 @@
     pub count: CountRules,
     /// The configured number of nodes.
     pub nodes: u32,
+    /// How it takes part in dissemination; none: it does not.
+    pub dissemination: Option<DisseminationConfig>,
 }
 
 impl Default for PeersConfig {
@@ -45,6 +48,7 @@
             suspicion: 3.0,
             count: CountRules::default(),
             nodes: 1,
+            dissemination: None,
         }
     }
 }
