--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod policies;
 pub mod real;
 pub mod report;
+pub mod scale;
 pub mod slopes;
 pub mod world;
--- a/lab/tests/cli.rs
+++ b/lab/tests/cli.rs
@@ -80,3 +80,57 @@
     let missing = lab(&["run", "no/such/file.toml"]);
     assert_eq!(missing.status.code(), Some(2), "{}", out(&missing));
 }
+
+#[test]
+fn an_experiment_of_scale_is_run_explained_listed_and_its_faults_are_told() {
+    let folder = Folder::new("scale");
+    let path = |name: &str| folder.0.join(name).display().to_string();
+    let text = "name = \"tiny\"\nabout = \"a few peers at rest\"\n\
+        [membership]\ncases = [\"rest\"]\nnodes = [4]\nsettle = \"1s\"\nrest = \"6s\"\n\
+        [[check]]\nname = \"quiet\"\nfigure = \"bytes_per_s\"\nat_most = 1000\n";
+    std::fs::write(path("tiny.toml"), text).unwrap();
+    let ran = lab(&["run", &path("tiny.toml"), "--seeds", "2", "--json", &path("out.json")]);
+    assert_eq!(ran.status.code(), Some(0), "{}", out(&ran));
+    assert_eq!(out(&ran).matches(": holds").count(), 2, "{}", out(&ran));
+    let written: Value = serde_json::from_str(&std::fs::read_to_string(path("out.json")).unwrap()).unwrap();
+    assert_eq!(written["runs"].as_array().map(Vec::len), Some(2));
+    assert_eq!(written["settings"]["loss"][0], 0.0, "what the file leaves out is written too");
+    let explained = lab(&["explain", &path("tiny.toml")]);
+    assert!(out(&explained).contains("settle = \"1s\"") && out(&explained).contains("peak_bytes_per_s"));
+    assert!(out(&lab(&["list", &folder.0.display().to_string()]))
+        .contains("tiny                     a few peers"));
+    // One that does not hold ends with 1, one that makes no sense with 2.
+    std::fs::write(path("tiny.toml"), text.replace("at_most = 1000", "at_most = 1")).unwrap();
+    let ran = lab(&["run", &path("tiny.toml")]);
+    assert_eq!(ran.status.code(), Some(1), "{}", out(&ran));
+    assert!(out(&ran).contains("FALLS SHORT"), "{}", out(&ran));
+    std::fs::write(path("tiny.toml"), text.replace("nodes = [4]", "nodes = [1]\nsize = 3")).unwrap();
+    let ran = lab(&["run", &path("tiny.toml")]);
+    assert_eq!(ran.status.code(), Some(2), "{}", out(&ran));
+    for part in ["tiny.toml: membership: size: found an unknown key", "nodes: found 1, expected 2 to 20000"] {
+        assert!(out(&ran).contains(part), "{}", out(&ran));
+    }
+}
+
+#[test]
+fn cases_of_membership_become_series_and_a_table_and_one_that_makes_no_sense_is_refused() {
+    let folder = Folder::new("membership");
+    let path = folder.0.join("series.json").display().to_string();
+    let few = ["--nodes", "4,8", "--settle", "1s", "--rest", "6s", "--loss", "0,0.05"];
+    let arguments = [&["membership", "--series", &path, "--case", "rest,split"], &few[..]].concat();
+    let ran = lab(&arguments);
+    assert_eq!(ran.status.code(), Some(0), "{}", out(&ran));
+    assert_eq!(out(&ran).lines().filter(|line| line.trim_start().starts_with("rest")).count(), 4);
+    let all: Value = serde_json::from_str(&std::fs::read_to_string(&path).unwrap()).unwrap();
+    let of = |name: &str| all.as_array().unwrap().iter().find(|series| series["name"] == name);
+    for name in ["bytes_per_second.rest", "bytes_per_second.rest.loss-5-percent", "memory_per_member"] {
+        let series = of(&format!("membership.{name}")).unwrap_or_else(|| panic!("no {name} in {all:#}"));
+        assert_eq!(series["points"].as_array().map(Vec::len), Some(2), "{name}");
+        assert!(series["command"].as_str().unwrap().starts_with("walkpick-lab membership --series"));
+    }
+    let refused = lab(&["membership", "--case", "region-cut", "--nodes", "66"]);
+    assert_eq!(refused.status.code(), Some(2), "{}", out(&refused));
+    assert!(out(&refused).contains("region-cut: found 66 nodes, expected 132 and more"), "{}", out(&refused));
+    let refused = lab(&["membership", "--nodes", "1"]);
+    assert_eq!(refused.status.code(), Some(2), "{}", out(&refused));
+}
