--- a/lab/src/commands/mod.rs
+++ b/lab/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands of the lab's program, each in a module of its own.
 
 pub mod capacity;
+pub mod dissemination;
 pub mod hollow;
 pub mod measure;
 pub mod membership;
--- a/lab/src/dissemination/cluster.rs
+++ b/lab/src/dissemination/cluster.rs
@@ -2,7 +2,7 @@
 //! and tells each node of it after the times that `docs/membership.md` measures.
 
 use super::ledger::{EntryId, Ledger, Subscriber};
-use super::topology::{address, Topology};
+use super::topology::{address, place, Topology};
 use super::traffic::Traffic;
 use crate::draw::{self, Stream};
 use crate::model::links::Way;
@@ -634,14 +634,6 @@
     }
 }
 
-/// Whose address it is.
-fn place(address: SocketAddr) -> Option<usize> {
-    match address {
-        SocketAddr::V4(address) => (address.ip().to_bits() as usize).checked_sub(0x0a00_0001),
-        SocketAddr::V6(_) => None,
-    }
-}
-
 /// A payload that says which entry it is.
 fn payload(id: EntryId, bytes: usize) -> Vec<u8> {
     let mut payload = vec![0; bytes.max(16)];
--- a/lab/src/dissemination/scenario.rs
+++ b/lab/src/dissemination/scenario.rs
@@ -32,6 +32,11 @@
 }
 
 impl Load {
+    /// All entries of the log.
+    pub fn entries(&self) -> u64 {
+        self.entries_per_second * self.seconds
+    }
+
     /// The operators' plan: 6 purges a second for 60 s, and a change of configuration every 10 s.
     pub fn planned(nodes: usize, loss: f64, seed: u64) -> Self {
         Self { nodes, loss, seed, entries_per_second: 6, entry_bytes: 100, seconds: 60, state_every_s: 10 }
--- a/lab/src/dissemination/topology.rs
+++ b/lab/src/dissemination/topology.rs
@@ -81,3 +81,11 @@
 pub fn address(node: usize) -> SocketAddr {
     SocketAddr::from((Ipv4Addr::from_bits(0x0a00_0001 + node as u32), PORT))
 }
+
+/// Whose address it is.
+pub fn place(address: SocketAddr) -> Option<usize> {
+    match address {
+        SocketAddr::V4(address) => (address.ip().to_bits() as usize).checked_sub(0x0a00_0001),
+        SocketAddr::V6(_) => None,
+    }
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -15,7 +15,9 @@
 use std::time::Duration;
 use walkpick_lab::capacity::{PageError, PlanError};
 use walkpick_lab::cluster::cases::NotApplicable;
-use walkpick_lab::commands::{capacity, hollow, measure, membership, scale, slopes, UnknownName};
+use walkpick_lab::commands::{
+    capacity, dissemination, hollow, measure, membership, scale, slopes, UnknownName,
+};
 use walkpick_lab::experiment::{self, Arm, Driver, Experiment, ExperimentError, Policy, What};
 use walkpick_lab::judge::{self, Result as Run};
 use walkpick_lab::real::{self, process, Options, RealError};
@@ -39,6 +41,8 @@
     Compare(CompareArgs),
     /// Run an experiment with real nodes and in simulated time on the same seeds, and tell how far apart they lie
     Calibrate(CalibrateArgs),
+    /// Run a load of ordered dissemination on any number of peers in simulated time
+    Dissemination(dissemination::DisseminationArgs),
     /// Run cases of membership among any number of peers in simulated time
     Membership(membership::MembershipArgs),
     /// Work out from a plan and the slopes what each role needs, and keep the page true
@@ -204,6 +208,7 @@
         Command::Run(args) => run(&args),
         Command::Compare(args) => compare(&args),
         Command::Calibrate(args) => calibrate(&args),
+        Command::Dissemination(args) => dissemination::run(&args),
         Command::Membership(args) => membership::run(&args),
         Command::Capacity(args) => capacity::run(&args),
         Command::Slopes(args) => slopes::run(&args),
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -2,11 +2,13 @@
 //! `name`, `about` and `[[check]]`. A kind implements [`ScaleKind`] and has a line in [`KINDS`].
 
 mod check;
+mod dissemination;
 mod experiment;
 mod membership;
 mod reader;
 
 pub use check::{CheckOutcome, ScaleCheck};
+pub use dissemination::DisseminationExperiment;
 pub use experiment::ScaleExperiment;
 pub use membership::MembershipExperiment;
 pub use reader::TableReader;
@@ -28,7 +30,7 @@
 }
 
 /// All kinds.
-pub const KINDS: [Kind; 1] = [MembershipExperiment::KIND];
+pub const KINDS: [Kind; 2] = [DisseminationExperiment::KIND, MembershipExperiment::KIND];
 
 /// What one kind of experiment does.
 pub trait ScaleKind {
--- a/src/peers/joined.rs
+++ b/src/peers/joined.rs
@@ -74,3 +74,6 @@
     let id = mix(peer.order ^ mix(u64::from(peer.salt) ^ hash_name(&peer.name)));
     Member::new(id, &peer.name, peer.address, &location.region, &location.zone, &location.site)
 }
+
+#[cfg(test)]
+mod tests;
