--- a/src/peers/dissemination/mod.rs
+++ b/src/peers/dissemination/mod.rs
@@ -56,7 +56,7 @@
     /// What a node may send for control in a second, membership included. Who drives the core keeps to it.
     pub control_bytes_per_second: u32,
     /// A publisher is told who has not applied an entry after this time. Entries are applied within 2.4 s; a node that
-    /// lags is named by the one above it after 4 s ([`asking::LAG`]), and that word takes up to 2 s more up the tree.
+    /// lags is named by the one above it after 4 s, and that word takes up to 2 s more up the tree.
     pub acknowledge_within: Duration,
     /// A log that has been behind for so long is told to be stale, and takes a snapshot where entries are gone.
     pub stale_after: Duration,
