--- a/src/peers/dissemination/asking.rs
+++ b/src/peers/dissemination/asking.rs
@@ -2,7 +2,7 @@
 
 use super::super::{Micros, TrafficClass};
 use super::acknowledgement::LineKey;
-use super::message::{Line, LogPosition, Message, Report, StatePosition};
+use super::message::{encode, Line, LogPosition, Message, Report, StatePosition};
 use super::overlay::Member;
 use super::{Dissemination, DisseminationOutput};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -264,8 +264,17 @@
         let logs =
             self.logs.iter().filter(|(_, log)| log.based).map(|(&key, log)| log.position(key)).collect();
         let states = self.states.positions();
-        let all = Message::Positions { logs, states, complete: true, hops: target.hops, joining };
-        self.outbox.small(TrafficClass::Log, target.member.address, all);
+        let (to, hops) = (target.member.address, target.hops);
+        let all = Message::Positions { logs, states, complete: true, hops, joining };
+        if encode(self.cluster, &all).len() <= self.config.largest_datagram {
+            self.outbox.small(TrafficClass::Log, to, all);
+            return;
+        }
+        // Many states, and logs with many holes: in two parts, neither of which is all.
+        let Message::Positions { logs, states, .. } = all else { return };
+        let part = |logs, states| Message::Positions { logs, states, complete: false, hops, joining };
+        self.outbox.small(TrafficClass::Log, to, part(logs, Vec::new()));
+        self.outbox.small(TrafficClass::Log, to, part(Vec::new(), states));
     }
 
     /// Answers with what the other one lacks, and notes what it has.
--- a/src/peers/dissemination/mod.rs
+++ b/src/peers/dissemination/mod.rs
@@ -324,6 +324,10 @@
     pub fn timers(&mut self, now: Micros, budget: &mut ByteBudget, out: &mut Vec<DisseminationOutput>) {
         if now >= self.tick_at {
             self.tick_at = now + TICK;
+            if self.joining.is_some() && self.overlay.members().len() <= 1 {
+                // Nobody is there yet to be asked.
+                self.joining = Some(now + JOINING);
+            }
             if self.joining.is_some_and(|until| now >= until) {
                 self.joined(now, out);
             }
--- a/src/peers/dissemination/publishing.rs
+++ b/src/peers/dissemination/publishing.rs
@@ -99,7 +99,7 @@
             let kept = record.iter().map(|entry| entry.sequence).min().unwrap_or(first);
             log.skip(now, kept.saturating_sub(1));
         }
-        for entry in record.into_iter().filter(|entry| entry.fits() && entry.sequence < first) {
+        for entry in record.into_iter().filter(|entry| entry.fits() && (1..first).contains(&entry.sequence)) {
             let sequence = entry.sequence;
             // An entry of the record is good, whatever epoch issued it.
             let epoch = entry.epoch.max(1);
