--- a/lab/src/dissemination/cluster.rs
+++ b/lab/src/dissemination/cluster.rs
@@ -2,7 +2,7 @@
 //! and tells each node of it after the times that `docs/membership.md` measures.
 
 use super::ledger::{EntryId, Ledger, Subscriber};
-use super::topology::{address, Topology};
+use super::topology::{address, place, Topology};
 use super::traffic::Traffic;
 use crate::draw::{self, Stream};
 use crate::model::links::Way;
@@ -200,18 +200,8 @@
     /// The sums of all nodes' counters; `most_waiting` is the largest.
     pub fn counters(&self) -> DisseminationCounters {
         let mut all = DisseminationCounters::default();
-        for one in self.nodes.iter().filter_map(|node| node.core.as_ref()).map(Dissemination::counters) {
-            all.malformed += one.malformed;
-            all.oversized += one.oversized;
-            all.foreign += one.foreign;
-            all.later_schema += one.later_schema;
-            all.duplicates += one.duplicates;
-            all.fenced += one.fenced;
-            all.refused += one.refused;
-            all.given_up += one.given_up;
-            all.repaired += one.repaired;
-            all.most_waiting = all.most_waiting.max(one.most_waiting);
-        }
+        let cores = self.nodes.iter().filter_map(|node| node.core.as_ref());
+        cores.map(Dissemination::counters).for_each(|one| all.add(&one));
         all
     }
 
@@ -644,14 +634,6 @@
     }
 }
 
-/// Whose address it is.
-fn place(address: SocketAddr) -> Option<usize> {
-    match address {
-        SocketAddr::V4(address) => (address.ip().to_bits() as usize).checked_sub(0x0a00_0001),
-        SocketAddr::V6(_) => None,
-    }
-}
-
 /// A payload that says which entry it is.
 fn payload(id: EntryId, bytes: usize) -> Vec<u8> {
     let mut payload = vec![0; bytes.max(16)];
--- a/lab/src/dissemination/tests.rs
+++ b/lab/src/dissemination/tests.rs
@@ -350,8 +350,9 @@
     cluster.open(spare, 2, next.next, record).unwrap();
     next.run(&mut cluster, 2);
     cluster.resume_unseen(PUBLISHER);
-    // What it issues before it hears of the other one reaches nobody.
-    let _ = cluster.publish(PUBLISHER, 1, flow.next, BYTES);
+    // What it issues before it hears of the other one reaches nobody, also where the other one has not got so far yet.
+    (0..40).for_each(|_| flow.publish(&mut cluster));
+    assert!(flow.last() > next.last());
     next.run(&mut cluster, 3);
     assert!(next.finish(&mut cluster, 5 * SECOND).is_some());
     assert_eq!(cluster.ledger.faults, []);
--- a/src/peers/dissemination/mod.rs
+++ b/src/peers/dissemination/mod.rs
@@ -53,8 +53,10 @@
     pub largest_datagram: usize,
     /// What each datagram costs beside its own bytes, where it is sent in an envelope.
     pub overhead: usize,
+    /// What a node may send for control in a second, membership included. Who drives the core keeps to it.
+    pub control_bytes_per_second: u32,
     /// A publisher is told who has not applied an entry after this time. Entries are applied within 2.4 s; a node that
-    /// lags is named by the one above it after 4 s ([`asking::LAG`]), and that word takes up to 2 s more up the tree.
+    /// lags is named by the one above it after 4 s, and that word takes up to 2 s more up the tree.
     pub acknowledge_within: Duration,
     /// A log that has been behind for so long is told to be stale, and takes a snapshot where entries are gone.
     pub stale_after: Duration,
@@ -66,6 +68,7 @@
             cluster: "walkpick".to_owned(),
             largest_datagram: 1_136,
             overhead: 60,
+            control_bytes_per_second: 16_384,
             acknowledge_within: Duration::from_secs(6),
             stale_after: Duration::from_secs(10),
         }
@@ -192,6 +195,22 @@
     pub most_waiting: u64,
 }
 
+impl DisseminationCounters {
+    /// Adds another node's; of what waited the larger counts.
+    pub fn add(&mut self, other: &Self) {
+        self.malformed += other.malformed;
+        self.oversized += other.oversized;
+        self.foreign += other.foreign;
+        self.later_schema += other.later_schema;
+        self.duplicates += other.duplicates;
+        self.fenced += other.fenced;
+        self.refused += other.refused;
+        self.given_up += other.given_up;
+        self.repaired += other.repaired;
+        self.most_waiting = self.most_waiting.max(other.most_waiting);
+    }
+}
+
 /// One node's part in dissemination.
 #[derive(Debug)]
 pub struct Dissemination {
@@ -305,6 +324,10 @@
     pub fn timers(&mut self, now: Micros, budget: &mut ByteBudget, out: &mut Vec<DisseminationOutput>) {
         if now >= self.tick_at {
             self.tick_at = now + TICK;
+            if self.joining.is_some() && self.overlay.members().len() <= 1 {
+                // Nobody is there yet to be asked.
+                self.joining = Some(now + JOINING);
+            }
             if self.joining.is_some_and(|until| now >= until) {
                 self.joined(now, out);
             }
