--- a/lab/src/commands/hollow.rs
+++ b/lab/src/commands/hollow.rs
@@ -1,18 +1,17 @@
-//! `walkpick-lab hollow`: runs hollow nodes, told on the command line or by an experiment file.
+//! `walkpick-lab hollow`: runs hollow nodes, told on the command line.
 
-use crate::experiment::ExperimentError;
+use crate::experiment::{ExperimentError, Fault};
+use crate::hollow::play::{play_all, PlayOptions};
 use crate::hollow::process::{self, ProcessFault};
-use crate::hollow::run::{run as run_one, HollowRun, RunOptions, RunPlan};
+use crate::hollow::run::HollowRun;
 use crate::hollow::series::series;
-use crate::hollow::settings::{Check, FaultKind, Hollow, HollowExperiment, HollowFault};
+use crate::hollow::settings::{FaultKind, Hollow, HollowFault, Wrong};
+use crate::slopes::write_series;
 use clap::Args;
 use serde::Serialize;
-use signal_hook::consts::{SIGINT, SIGTERM};
 use std::error::Error;
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
 use std::time::Duration;
 
 /// The arguments.
@@ -60,56 +59,55 @@
     /// A run in which one in a hundred things came later than this, or one ten times as late, is void
     #[arg(long, default_value = "10ms", value_parser = humantime::parse_duration)]
     lateness: Duration,
-    #[command(flatten)]
-    how: HollowHow,
-}
-
-/// How runs are carried out and where their results go.
-#[derive(Clone, Debug, Default, Args)]
-pub struct HollowHow {
+    /// Each node probes another one this often
+    #[arg(long, default_value = "400ms", value_parser = humantime::parse_duration)]
+    probe_every: Duration,
+    /// An answer that takes longer is asked for by way of others; at the most half of that
+    #[arg(long, default_value = "180ms", value_parser = humantime::parse_duration)]
+    probe_timeout: Duration,
     /// The node's program, for complete nodes; the one beside this program where it is not given
     #[arg(long)]
-    pub node: Option<PathBuf>,
+    node: Option<PathBuf>,
     /// Where configurations and logs of complete nodes stay; where it is not given, they go with the run
     #[arg(long)]
-    pub logs: Option<PathBuf>,
+    logs: Option<PathBuf>,
     /// Write all results here as JSON
     #[arg(long)]
-    pub json: Option<PathBuf>,
+    json: Option<PathBuf>,
     /// Write the figures here as series against the number of nodes, as JSON
     #[arg(long)]
-    pub series: Option<PathBuf>,
-}
-
-/// Which seeds are run.
-#[derive(Clone, Copy, Debug)]
-pub struct Seeds {
-    /// The first.
-    pub first: u64,
-    /// How many.
-    pub count: u64,
+    series: Option<PathBuf>,
 }
 
 /// Results as JSON has them.
 #[derive(Debug, Serialize)]
 struct Written<'a> {
-    experiment: &'a HollowExperiment,
+    hollow: &'a Hollow,
     runs: &'a [HollowRun],
 }
 
-/// Carries out the command. `false`: a run is void, was ended early, or a check falls short.
+/// Carries out the command. `false`: a run is void or was ended early.
 pub fn run(args: &HollowArgs) -> Result<bool, Box<dyn Error>> {
-    let experiment = HollowExperiment {
-        name: "hollow".to_owned(),
-        about: "hollow nodes, as the command line says".to_owned(),
-        hollow: args.hollow()?,
-        check: Vec::new(),
-    };
-    let faults = experiment.hollow.faults();
+    let hollow = args.hollow()?;
+    let faults: Vec<_> = hollow.faults().into_iter().map(as_fault).collect();
     if !faults.is_empty() {
         return Err(ExperimentError::Faulty { path: "command line".into(), faults }.into());
     }
-    run_experiment(&experiment, Seeds { first: args.seed, count: args.seeds }, &args.how)
+    let seeds = args.seed..args.seed.saturating_add(args.seeds);
+    let how = PlayOptions { seeds, node: args.node.clone(), logs: args.logs.clone() };
+    let runs = play_all(&hollow, &how)?;
+    if let Some(path) = &args.json {
+        std::fs::write(path, serde_json::to_vec_pretty(&Written { hollow: &hollow, runs: &runs })?)?;
+    }
+    if let Some(path) = &args.series {
+        write_series(path, &series(&runs, &command()))?;
+    }
+    show(&mut io::stdout().lock(), &runs)?;
+    Ok(runs.iter().all(|run| run.void.is_none() && !run.interrupted))
+}
+
+fn as_fault(wrong: Wrong) -> Fault {
+    Fault { place: wrong.key, what: format!("found {}, expected {}", wrong.found, wrong.expected) }
 }
 
 impl HollowArgs {
@@ -132,6 +130,8 @@
             end_when_met: self.until_met,
             rest: Duration::try_from_secs_f64(self.seconds)?,
             lateness: self.lateness,
+            probe_every: self.probe_every,
+            probe_timeout: self.probe_timeout,
             fault: self.fault.iter().map(fault).collect(),
             ..Hollow::default()
         };
@@ -145,84 +145,6 @@
     process::serve().map(|()| true).map_err(|error: ProcessFault| error.into())
 }
 
-/// Runs each size with each loss on each seed, and holds every run against the checks.
-pub fn run_experiment(
-    experiment: &HollowExperiment,
-    seeds: Seeds,
-    how: &HollowHow,
-) -> Result<bool, Box<dyn Error>> {
-    let stop = Arc::new(AtomicBool::new(false));
-    for signal in [SIGINT, SIGTERM] {
-        // A second one ends this process at once, and its children with it.
-        signal_hook::flag::register_conditional_shutdown(signal, 130, Arc::clone(&stop))?;
-        signal_hook::flag::register(signal, Arc::clone(&stop))?;
-    }
-    let plans = plans(&experiment.hollow, seeds);
-    let mut runs = Vec::new();
-    for plan in &plans {
-        tell_need(plan)?;
-        let options = options(how, plan);
-        let ran = run_one(plan, &options, &stop);
-        if how.logs.is_none() && ran.is_ok() {
-            // What is left behind is a folder of the system's for such things.
-            let _ = std::fs::remove_dir_all(&options.folder);
-        }
-        runs.push(ran?);
-        if stop.load(Ordering::Relaxed) {
-            break;
-        }
-    }
-    if let Some(path) = &how.json {
-        std::fs::write(path, serde_json::to_vec_pretty(&Written { experiment, runs: &runs })?)?;
-    }
-    if let Some(path) = &how.series {
-        std::fs::write(path, serde_json::to_vec_pretty(&series(&runs, &command()))?)?;
-    }
-    show(&mut io::stdout().lock(), experiment, &runs)
-}
-
-fn plans(hollow: &Hollow, seeds: Seeds) -> Vec<RunPlan> {
-    let mut plans = Vec::new();
-    for &nodes in &hollow.nodes {
-        for &loss in &hollow.loss {
-            let of_seeds = (seeds.first..seeds.first.saturating_add(seeds.count)).map(|seed| RunPlan {
-                nodes,
-                loss,
-                seed,
-                hollow: hollow.clone(),
-            });
-            plans.extend(of_seeds);
-        }
-    }
-    plans
-}
-
-fn options(how: &HollowHow, plan: &RunPlan) -> RunOptions {
-    let lab = std::env::current_exe().unwrap_or_else(|_| "walkpick-lab".into());
-    let folder = how.logs.clone().unwrap_or_else(std::env::temp_dir);
-    let RunPlan { nodes, loss, seed, .. } = plan;
-    RunOptions {
-        program: how.node.clone().unwrap_or_else(|| lab.with_file_name("walkpick")),
-        folder: folder.join(format!("walkpick-hollow-{}-{nodes}-{loss}-{seed}", std::process::id())),
-        lab,
-    }
-}
-
-fn tell_need(plan: &RunPlan) -> io::Result<()> {
-    let need = plan.need();
-    writeln!(
-        io::stderr(),
-        "{} hollow nodes in {} processes and {} complete ones, loss {}, seed {}: at most {} processes and {} MiB",
-        plan.nodes,
-        plan.processes(),
-        plan.hollow.complete,
-        plan.loss,
-        plan.seed,
-        need.processes,
-        need.bytes / (1024 * 1024),
-    )
-}
-
 /// The command that this process was started with, without its folder.
 fn command() -> String {
     let mut words: Vec<String> = std::env::args().collect();
@@ -233,41 +155,19 @@
     words.join(" ")
 }
 
-fn show(
-    out: &mut impl Write,
-    experiment: &HollowExperiment,
-    runs: &[HollowRun],
-) -> Result<bool, Box<dyn Error>> {
-    let mut good = true;
+fn show(out: &mut impl Write, runs: &[HollowRun]) -> io::Result<()> {
     for run in runs {
         let HollowRun { nodes, complete, loss, seed, .. } = run;
-        let which = format!("{nodes} hollow and {complete} complete nodes, loss {loss}, seed {seed}");
+        writeln!(out, "{nodes} hollow and {complete} complete nodes, loss {loss}, seed {seed}")?;
         if run.interrupted {
-            writeln!(out, "{which}: ended early, nothing is judged")?;
-            good = false;
-            continue;
+            writeln!(out, "  ended early: nothing is judged")?;
         }
-        writeln!(out, "{which}")?;
         for (name, value) in &run.figures {
             writeln!(out, "  {name:24} {value:.4}")?;
         }
         if let Some(why) = &run.void {
             writeln!(out, "  void: {why}")?;
-            good = false;
-            continue;
-        }
-        for check in &experiment.check {
-            good &= show_check(out, check, run)?;
         }
     }
-    Ok(good)
-}
-
-fn show_check(out: &mut impl Write, check: &Check, run: &HollowRun) -> io::Result<bool> {
-    let value = run.figures.get(&check.figure).copied();
-    let holds = check.holds(value);
-    let word = if holds { "holds" } else { "FALLS SHORT" };
-    let value = value.map_or_else(|| "not reached".to_owned(), |value| format!("{value:.4}"));
-    writeln!(out, "  {}: {} {value}, {}: {word}", check.name, check.figure, check.bound())?;
-    Ok(holds)
+    Ok(())
 }
--- a/lab/src/hollow/complete.rs
+++ b/lab/src/hollow/complete.rs
@@ -60,6 +60,10 @@
     pub lateness: Duration,
     /// Where they run.
     pub location: Location,
+    /// How often they probe.
+    pub probe_every: Duration,
+    /// How long they wait for an answer.
+    pub probe_timeout: Duration,
 }
 
 /// Complete nodes that run.
@@ -93,8 +97,8 @@
     ) -> Result<Self, CompleteError> {
         let (sender, mut told) = mpsc::channel(1);
         let folder = options.folder.clone();
-        let CompleteOptions { program, lab, lateness, location, .. } = options;
-        let company = Some(Company { seeds, location, nodes: sender });
+        let CompleteOptions { program, lab, lateness, location, probe_every, probe_timeout, .. } = options;
+        let company = Some(Company { seeds, location, probe_every, probe_timeout, nodes: sender });
         let options = Options { program, lab, folder: folder.clone(), lateness, company };
         let experiment = experiment(nodes, Duration::from_micros(length), loss);
         let arm = Arm { peers: true, ..Arm::default() };
--- /dev/null
+++ b/lab/src/hollow/experiment.rs
@@ -0,0 +1,126 @@
+//! The kind `[hollow]` of experiments: hollow nodes in real time, as a file says.
+
+use super::figures::{figure_meanings, known_name};
+use super::places::Map;
+use super::play::{play_all, PlayOptions};
+use super::run::HollowRun;
+use super::settings::{Hollow, HollowFault};
+use crate::scale::{Kind, RunOptions, ScaleKind, ScaleRun, TableReader};
+use std::error::Error;
+use toml::{Table, Value};
+
+const KEYS: [&str; 14] = [
+    "nodes",
+    "processes",
+    "complete",
+    "loss",
+    "start",
+    "meet",
+    "end_when_met",
+    "rest",
+    "lateness",
+    "probe_every",
+    "probe_timeout",
+    "regions",
+    "zones",
+    "farthest",
+];
+const TABLES: [&str; 1] = ["fault"];
+
+impl Hollow {
+    /// The kind `[hollow]`.
+    pub const KIND: Kind = Kind { table: "hollow", read, figures: figure_meanings };
+
+    /// Reads its values from a table; what is wrong is told to the reader.
+    fn read(reader: &mut TableReader) -> Self {
+        reader.only(&[&KEYS[..], &TABLES].concat());
+        let standard = Self::default();
+        let numbers = "a list of numbers";
+        let map = Map {
+            regions: reader.optional("regions", "a number").unwrap_or(standard.map.regions),
+            zones: reader.optional("zones", "a number").unwrap_or(standard.map.zones),
+            farthest: reader.duration("farthest").unwrap_or(standard.map.farthest),
+        };
+        Self {
+            nodes: reader.optional("nodes", numbers).unwrap_or(standard.nodes),
+            processes: reader.optional("processes", "a number").unwrap_or(standard.processes),
+            complete: reader.optional("complete", "a number").unwrap_or(standard.complete),
+            loss: reader.optional("loss", numbers).unwrap_or(standard.loss),
+            start: reader.duration("start").unwrap_or(standard.start),
+            meet: reader.duration("meet").unwrap_or(standard.meet),
+            end_when_met: reader.optional("end_when_met", "true or false").unwrap_or(standard.end_when_met),
+            rest: reader.duration("rest").unwrap_or(standard.rest),
+            lateness: reader.duration("lateness").unwrap_or(standard.lateness),
+            probe_every: reader.duration("probe_every").unwrap_or(standard.probe_every),
+            probe_timeout: reader.duration("probe_timeout").unwrap_or(standard.probe_timeout),
+            map,
+            fault: read_faults(reader),
+        }
+    }
+}
+
+fn read(mut reader: TableReader) -> Option<Box<dyn ScaleKind>> {
+    let hollow = Hollow::read(&mut reader);
+    for wrong in hollow.faults() {
+        reader.fault(&wrong.key, &wrong.found, &wrong.expected);
+    }
+    reader.is_good().then(|| Box::new(hollow) as Box<dyn ScaleKind>)
+}
+
+fn read_faults(reader: &mut TableReader) -> Vec<HollowFault> {
+    let tables: Vec<Table> = reader.optional("fault", "[[hollow.fault]] tables").unwrap_or_default();
+    let mut faults = Vec::new();
+    for (place, table) in tables.into_iter().enumerate() {
+        match Value::Table(table).try_into::<HollowFault>() {
+            Ok(fault) => faults.push(fault),
+            Err(error) => {
+                let expected = "what (kill, rack, zone, restart or region), lasts, after";
+                let found = error.message().replace('\n', " ");
+                reader.fault(&format!("fault {}", place + 1), &found, expected);
+            }
+        }
+    }
+    faults
+}
+
+impl ScaleKind for Hollow {
+    fn groups(&self) -> Vec<String> {
+        self.loss.iter().map(|loss| group(*loss)).collect()
+    }
+
+    fn settings(&self) -> Result<Value, toml::ser::Error> {
+        Value::try_from(self)
+    }
+
+    fn run(&self, options: &RunOptions) -> Result<Vec<ScaleRun>, Box<dyn Error>> {
+        let how = PlayOptions {
+            seeds: options.seeds.clone(),
+            node: options.node.clone(),
+            logs: options.logs.clone(),
+        };
+        // The command line may be more patient than the file, on a busy machine.
+        let hollow = Self { lateness: self.lateness.max(options.lateness), ..self.clone() };
+        let runs = play_all(&hollow, &how)?;
+        Ok(runs.iter().map(as_run).collect())
+    }
+}
+
+fn group(loss: f64) -> String {
+    format!("loss-{:.0}-percent", loss * 100.0)
+}
+
+fn as_run(run: &HollowRun) -> ScaleRun {
+    let HollowRun { nodes, complete, loss, seed, .. } = run;
+    let figures = run.figures.iter().filter_map(|(name, value)| Some((known_name(name)?, *value)));
+    let ended_early = run.interrupted.then(|| "ended early: nothing is judged".to_owned());
+    ScaleRun {
+        label: format!("{nodes} hollow and {complete} complete nodes, loss {loss}"),
+        group: group(*loss),
+        seed: *seed,
+        figures: figures.collect(),
+        void: run.void.clone().or(ended_early),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/lab/src/hollow/figures.rs
+++ b/lab/src/hollow/figures.rs
@@ -3,7 +3,9 @@
 use super::protocol::{Micros, NodeReport, Report, Usage, ViewsOfProcess, Word};
 use super::schedule::{Phase, Schedule};
 use super::settings::FaultKind;
+use crate::scale::FigureMeaning;
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::LazyLock;
 use walkpick::peers::Standing;
 
 const SECOND: Micros = 1_000_000;
@@ -55,17 +57,26 @@
 const FAULTS: [FaultKind; 5] =
     [FaultKind::Kill, FaultKind::Rack, FaultKind::Zone, FaultKind::Restart, FaultKind::Region];
 
-/// The names of all figures.
-pub fn names() -> Vec<String> {
-    let of_faults = FAULTS
-        .iter()
-        .flat_map(|fault| OF_FAULTS.iter().map(move |(name, _)| format!("{}_{name}", fault.name())));
-    FIGURES.iter().map(|(name, _)| (*name).to_owned()).chain(of_faults).collect()
+/// All figures, those of every fault among them.
+static ALL: LazyLock<Vec<FigureMeaning>> = LazyLock::new(|| {
+    let of_runs = FIGURES.iter().map(|&(name, meaning)| FigureMeaning { name, meaning });
+    let of_faults = FAULTS.iter().flat_map(|fault| {
+        OF_FAULTS.iter().map(move |&(name, meaning)| {
+            // Made once, and kept for as long as the program runs, as the other names are.
+            FigureMeaning { name: format!("{}_{name}", fault.name()).leak(), meaning }
+        })
+    });
+    of_runs.chain(of_faults).collect()
+});
+
+/// All figures with their meaning.
+pub fn figure_meanings() -> Vec<FigureMeaning> {
+    ALL.clone()
 }
 
-/// Whether there is such a figure.
-pub fn is_known(name: &str) -> bool {
-    names().iter().any(|known| known == name)
+/// A figure's name as checks have it; none where there is no such figure.
+pub fn known_name(name: &str) -> Option<&'static str> {
+    ALL.iter().map(|figure| figure.name).find(|known| *known == name)
 }
 
 /// What the processes of a run told.
--- a/lab/src/hollow/figures/tests.rs
+++ b/lab/src/hollow/figures/tests.rs
@@ -112,5 +112,5 @@
 #[test]
 fn every_figure_has_a_name_that_checks_may_use() {
     let figures = figures(&schedule(FaultKind::Kill, 4), &told(vec![word(22, 0, 3)]));
-    assert!(figures.keys().all(|name| is_known(name)), "{figures:?}");
+    assert!(figures.keys().all(|name| known_name(name).is_some()), "{figures:?}");
 }
--- a/lab/src/hollow/mod.rs
+++ b/lab/src/hollow/mod.rs
@@ -5,12 +5,14 @@
 pub mod children;
 pub mod clock;
 pub mod complete;
+mod experiment;
 pub mod figures;
 pub mod machine;
 mod meters;
 mod network;
 mod node;
 pub mod places;
+pub mod play;
 pub mod process;
 pub mod protocol;
 pub mod run;
--- a/lab/src/hollow/node.rs
+++ b/lab/src/hollow/node.rs
@@ -10,7 +10,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
@@ -263,6 +263,8 @@
     PeersConfig {
         cluster: begin.cluster.clone(),
         seeds: begin.seeds.iter().filter_map(|seed| begin.addresses.get(*seed).copied()).collect(),
+        probe_every: Duration::from_micros(begin.probe_every),
+        probe_timeout: Duration::from_micros(begin.probe_timeout),
         nodes: u32::try_from(begin.addresses.len() + begin.complete.len()).unwrap_or(u32::MAX),
         ..PeersConfig::default()
     }
--- a/lab/src/hollow/protocol.rs
+++ b/lab/src/hollow/protocol.rs
@@ -46,6 +46,10 @@
     pub complete: Vec<CompleteAddresses>,
     /// Whom nodes ask when they join, by number.
     pub seeds: Vec<usize>,
+    /// Each node probes another one so often, in microseconds.
+    pub probe_every: u64,
+    /// An answer that takes longer is asked for by way of others, in microseconds.
+    pub probe_timeout: u64,
     /// Regions and delays.
     pub map: Map,
     /// Part of the datagrams that are lost.
--- a/lab/src/hollow/run.rs
+++ b/lab/src/hollow/run.rs
@@ -144,6 +144,8 @@
         complete: complete.as_ref().map(|complete| complete.addresses.clone()).unwrap_or_default(),
         addresses,
         seeds,
+        probe_every: plan.hollow.probe_every.as_micros() as u64,
+        probe_timeout: plan.hollow.probe_timeout.as_micros() as u64,
         map: plan.hollow.map,
         loss: plan.loss,
         seed: plan.seed,
@@ -211,6 +213,8 @@
         folder: options.folder.clone(),
         lateness: plan.hollow.lateness,
         location: plan.hollow.map.place(0).location(),
+        probe_every: plan.hollow.probe_every,
+        probe_timeout: plan.hollow.probe_timeout,
     };
     let nodes = plan.hollow.complete;
     let started =
--- a/lab/src/hollow/series.rs
+++ b/lab/src/hollow/series.rs
@@ -1,35 +1,7 @@
 //! A run's figures as series against the number of nodes, in the form that all measuring tools of the lab share.
 
 use super::run::HollowRun;
-use serde::{Deserialize, Serialize};
-
-/// A cost that was measured at several sizes.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Series {
-    /// What it is called.
-    pub name: String,
-    /// The unit of the values.
-    pub unit: String,
-    /// What the sizes count.
-    pub against: String,
-    /// How it was measured.
-    pub method: String,
-    /// The command that measures it again.
-    pub command: String,
-    /// One point for each play.
-    pub points: Vec<Point>,
-}
-
-/// One play.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Point {
-    /// Hollow and complete nodes together.
-    pub size: usize,
-    /// What was measured.
-    pub value: f64,
-    /// The seed.
-    pub seed: u64,
-}
+use crate::slopes::{Method, Point, Series};
 
 /// Figures that become series: their name, the series and its unit.
 const SERIES: &[(&str, &str, &str)] = &[
@@ -61,7 +33,7 @@
         },
         unit: (*unit).to_owned(),
         against: "nodes".to_owned(),
-        method: "hollow".to_owned(),
+        method: Method::Hollow,
         command: command.to_owned(),
         points: points(runs, loss, figure),
     });
@@ -72,7 +44,7 @@
     let counted = runs.iter().filter(|run| run.loss == loss && run.void.is_none() && !run.interrupted);
     let values = counted.filter_map(|run| {
         let value = *run.figures.get(figure)?;
-        Some(Point { size: run.nodes + run.complete, value, seed: run.seed })
+        Some(Point { size: (run.nodes + run.complete) as f64, value, seed: run.seed })
     });
     values.collect()
 }
--- a/lab/src/hollow/settings.rs
+++ b/lab/src/hollow/settings.rs
@@ -1,12 +1,10 @@
-//! What a run of hollow nodes is: sizes, places, faults and checks, from the command line or the table `[hollow]` of an
-//! experiment file.
+//! What a run of hollow nodes is: sizes, places and faults, from the command line or an experiment file.
 
-use super::figures;
 use super::places::Map;
 use crate::cluster::topology::REGIONS;
-use crate::experiment::Fault as Wrong;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
+use walkpick::peers::PeersConfig;
 
 /// Processes that share the hollow nodes, at the most.
 pub const MOST_PROCESSES: usize = 16;
@@ -15,21 +13,6 @@
 /// Complete nodes at the most: each is a process.
 pub const MOST_COMPLETE: usize = 64;
 
-/// An experiment on hollow nodes.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct HollowExperiment {
-    /// Its name.
-    pub name: String,
-    /// What it shows.
-    pub about: String,
-    /// The cluster and what happens to it.
-    pub hollow: Hollow,
-    /// What has to hold in every run.
-    #[serde(default)]
-    pub check: Vec<Check>,
-}
-
 /// A cluster of hollow nodes and what happens to it. Each size is run with each loss.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -56,6 +39,12 @@
     /// A run in which one in a hundred things came later than this, or one ten times as late, is void.
     #[serde(with = "humantime_serde")]
     pub lateness: Duration,
+    /// Each node probes another one this often.
+    #[serde(with = "humantime_serde")]
+    pub probe_every: Duration,
+    /// An answer that takes longer is asked for by way of others.
+    #[serde(with = "humantime_serde")]
+    pub probe_timeout: Duration,
     /// Regions and zones.
     pub map: Map,
     /// What happens after the rest, one after the other.
@@ -65,6 +54,7 @@
 impl Default for Hollow {
     fn default() -> Self {
         let ms = Duration::from_millis;
+        let PeersConfig { probe_every, probe_timeout, .. } = PeersConfig::default();
         Self {
             nodes: vec![530],
             processes: MOST_PROCESSES,
@@ -75,6 +65,8 @@
             end_when_met: false,
             rest: ms(30_000),
             lateness: ms(10),
+            probe_every,
+            probe_timeout,
             map: Map::default(),
             fault: Vec::new(),
         }
@@ -132,67 +124,15 @@
     }
 }
 
-/// A figure within a bound, in every run.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Check {
-    /// What it is called.
-    pub name: String,
-    /// The figure.
-    pub figure: String,
-    /// It is no less than this.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub at_least: Option<f64>,
-    /// It is no more than this.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub at_most: Option<f64>,
-}
-
-impl HollowExperiment {
-    /// Reads a text; all that is wrong with its values is told at once.
-    pub fn parse(text: &str) -> Result<Self, Vec<Wrong>> {
-        let read: Self = toml::from_str(text).map_err(|error| {
-            let before = error.span().and_then(|span| text.get(..span.start)).unwrap_or("");
-            let line = before.matches('\n').count() + 1;
-            vec![Wrong { place: format!("line {line}"), what: error.message().replace('\n', " ") }]
-        })?;
-        let mut wrong = read.hollow.faults();
-        wrong.extend(read.check.iter().enumerate().flat_map(|(place, check)| check.faults(place + 1)));
-        match wrong.is_empty() {
-            true => Ok(read),
-            false => Err(wrong),
-        }
-    }
-}
-
-impl Check {
-    /// Whether a figure is within the bound; one that was not reached is not.
-    pub fn holds(&self, value: Option<f64>) -> bool {
-        let within = |value: f64| {
-            self.at_least.is_none_or(|least| value >= least) && self.at_most.is_none_or(|most| value <= most)
-        };
-        value.is_some_and(within)
-    }
-
-    /// The bound as it is told.
-    pub fn bound(&self) -> String {
-        let least = self.at_least.map(|least| format!("at least {least}"));
-        let most = self.at_most.map(|most| format!("at most {most}"));
-        least.into_iter().chain(most).collect::<Vec<_>>().join(" and ")
-    }
-
-    fn faults(&self, place: usize) -> Vec<Wrong> {
-        let mut wrong = Vec::new();
-        if !figures::is_known(&self.figure) {
-            let what = format!("found \"{}\", expected one of {}", self.figure, figures::names().join(", "));
-            wrong.push(Wrong { place: format!("check {place}: figure"), what });
-        }
-        if self.at_least.is_none() && self.at_most.is_none() {
-            let what = "found no bound, expected at_least or at_most".to_owned();
-            wrong.push(Wrong { place: format!("check {place}: bound"), what });
-        }
-        wrong
-    }
+/// A value that is wrong.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wrong {
+    /// Its name.
+    pub key: String,
+    /// What it is.
+    pub found: String,
+    /// What it may be.
+    pub expected: String,
 }
 
 impl Hollow {
@@ -214,6 +154,8 @@
         found.seconds("meet", self.meet, 1.0, 600.0);
         found.seconds("rest", self.rest, 1.0, 3_600.0);
         found.seconds("lateness", self.lateness, 0.000_001, 36_000.0);
+        found.seconds("probe_every", self.probe_every, 0.1, 60.0);
+        found.seconds("probe_timeout", self.probe_timeout, 0.01, self.probe_every.as_secs_f64() / 2.0);
         found.within("map.regions", self.map.regions as f64, 1.0, REGIONS as f64);
         found.within("map.zones", self.map.zones as f64, self.map.regions.max(1) as f64, 256.0);
         found.seconds("map.farthest", self.map.farthest, 0.001, 2.0);
@@ -221,8 +163,8 @@
             found.seconds(&format!("fault {}: lasts", i + 1), fault.lasts, 0.1, 600.0);
             found.seconds(&format!("fault {}: after", i + 1), fault.after, 1.0, 600.0);
             if self.fault[..i].iter().any(|before| before.what == fault.what) {
-                let what = format!("found another {}, expected each kind once", fault.what.name());
-                found.0.push(Wrong { place: format!("hollow.fault {}: what", i + 1), what });
+                let found_one = format!("another {}", fault.what.name());
+                found.add(&format!("fault {}: what", i + 1), found_one, "each kind once".to_owned());
             }
         }
         found.0
@@ -233,25 +175,25 @@
 struct Bounds(Vec<Wrong>);
 
 impl Bounds {
-    fn within(&mut self, place: &str, value: f64, least: f64, most: f64) {
+    fn add(&mut self, key: &str, found: String, expected: String) {
+        self.0.push(Wrong { key: key.to_owned(), found, expected });
+    }
+
+    fn within(&mut self, key: &str, value: f64, least: f64, most: f64) {
         if !(least..=most).contains(&value) {
-            let what = format!("found {value}, expected {least} to {most}");
-            self.0.push(Wrong { place: format!("hollow.{place}"), what });
+            self.add(key, value.to_string(), format!("{least} to {most}"));
         }
     }
 
-    fn seconds(&mut self, place: &str, value: Duration, least: f64, most: f64) {
+    fn seconds(&mut self, key: &str, value: Duration, least: f64, most: f64) {
         if !(least..=most).contains(&value.as_secs_f64()) {
-            let found = humantime::format_duration(value);
-            let what = format!("found {found}, expected {least} s to {most} s");
-            self.0.push(Wrong { place: format!("hollow.{place}"), what });
+            self.add(key, humantime::format_duration(value).to_string(), format!("{least} s to {most} s"));
         }
     }
 
-    fn listed(&mut self, place: &str, values: usize) {
+    fn listed(&mut self, key: &str, values: usize) {
         if values == 0 {
-            let what = "found an empty list, expected one value or more".to_owned();
-            self.0.push(Wrong { place: format!("hollow.{place}"), what });
+            self.add(key, "an empty list".to_owned(), "one value or more".to_owned());
         }
     }
 }
--- a/lab/src/real/mod.rs
+++ b/lab/src/real/mod.rs
@@ -100,6 +100,10 @@
     pub seeds: Vec<SocketAddr>,
     /// Where the nodes run, as they tell their peers.
     pub location: Location,
+    /// How often they probe their peers.
+    pub probe_every: Duration,
+    /// How long they wait for an answer before they ask others.
+    pub probe_timeout: Duration,
     /// Is told where the nodes are, before they start.
     pub nodes: mpsc::Sender<Vec<Reached>>,
 }
--- a/lab/src/real/nodes.rs
+++ b/lab/src/real/nodes.rs
@@ -152,8 +152,12 @@
             "seeds": seeds.collect::<Vec<_>>(), "cluster": "lab",
         }, "log": {"format": "json"}});
         if let Some(company) = &lab.options.company {
-            config["walkpick"]["peers"]["region"] = company.location.region.clone().into();
-            config["walkpick"]["peers"]["zone"] = company.location.zone.clone().into();
+            let time = |time| humantime::format_duration(time).to_string();
+            let peers = &mut config["walkpick"]["peers"];
+            peers["region"] = company.location.region.clone().into();
+            peers["zone"] = company.location.zone.clone().into();
+            peers["probe_every"] = time(company.probe_every).into();
+            peers["probe_timeout"] = time(company.probe_timeout).into();
         }
     }
     config
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -11,6 +11,7 @@
 pub use membership::MembershipExperiment;
 pub use reader::TableReader;
 
+use crate::hollow::settings::Hollow;
 use std::collections::BTreeMap;
 use std::error::Error;
 use std::ops::Range;
@@ -28,7 +29,7 @@
 }
 
 /// All kinds.
-pub const KINDS: [Kind; 1] = [MembershipExperiment::KIND];
+pub const KINDS: [Kind; 2] = [MembershipExperiment::KIND, Hollow::KIND];
 
 /// What one kind of experiment does.
 pub trait ScaleKind {
--- a/lab/tests/hollow.rs
+++ b/lab/tests/hollow.rs
@@ -110,7 +110,7 @@
     let names: Vec<_> = series.as_array().unwrap().iter().map(|one| one["name"].as_str().unwrap()).collect();
     assert!(names.contains(&"hollow.memory_bytes.loss-5-percent"), "{names:?}");
     let point = &series[0]["points"][0];
-    assert_eq!((point["size"].as_u64(), point["seed"].as_u64()), (Some(20), Some(1)));
+    assert_eq!((point["size"].as_f64(), point["seed"].as_u64()), (Some(20.0), Some(1)));
 }
 
 // Guards against figures of a lab that was late itself: no machine is on time to the microsecond.
@@ -169,11 +169,31 @@
         hollow(&["--nodes", "1", "--processes", "40", "--complete", "1000", "--loss", "2"]).output().unwrap();
     let said = text(&output);
     assert_eq!(output.status.code(), Some(2), "{said}");
-    for place in ["hollow.nodes: found 1", "hollow.processes: found 40", "hollow.complete", "hollow.loss"] {
+    for place in ["nodes: found 1", "processes: found 40", "complete: found 1000", "loss: found 2"] {
         assert!(said.contains(place), "{place}: {said}");
     }
 }
 
+#[test]
+fn an_experiment_file_is_run_and_its_checks_are_held_against_it() {
+    let folder = Folder::new("file");
+    let file = folder.path("file.toml");
+    let bound = |most: f64| {
+        format!(
+            "name = \"file\"\nabout = \"a test\"\n[hollow]\nnodes = [6]\nprocesses = 2\nstart = \"1s\"\n\
+             meet = \"100s\"\nend_when_met = true\n\
+             [[check]]\nname = \"they meet\"\nfigure = \"met_s\"\nat_most = {most}\n"
+        )
+    };
+    for (most, code, word) in [(100.0, 0, "holds"), (0.001, 1, "FALLS SHORT")] {
+        std::fs::write(&file, bound(most)).unwrap();
+        let output = Command::new(LAB).args(["run", &file, "--lateness", "1h"]).output().unwrap();
+        let said = text(&output);
+        assert_eq!(output.status.code(), Some(code), "{said}");
+        assert!(said.contains("they meet") && said.contains(word), "{said}");
+    }
+}
+
 #[test]
 fn a_run_that_this_machine_cannot_hold_is_refused_before_anything_starts() {
     let output = hollow(&["--nodes", "4000", "--seconds", "1000"]).output().unwrap();
