--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod capacity;
 pub mod cluster;
 pub mod commands;
+pub mod dissemination;
 pub mod draw;
 pub mod experiment;
 pub mod hollow;
