Hollow and complete nodes take part in dissemination, and what came of it is judged at every node

The program takes part where walkpick.peers.dissemination is on, off by default; no part of it acts on an entry yet: it logs those that come and puts each state in force. A run of hollow nodes publishes entries and states from one node that no fault meets, and tells the largest time until each was applied everywhere, what was lost, came twice or out of order, and acknowledgements that came too soon. Complete nodes are judged by their logs, on the same clock.

--- a/lab/src/cluster/simulated.rs
+++ b/lab/src/cluster/simulated.rs
@@ -170,14 +170,7 @@
         state.incarnation += 1;
         let order = (EPOCH + self.now).saturating_add_signed(state.clock_offset_us);
         let salt = self.random.random();
-        let me = Peer {
-            address: address(node),
-            order,
-            salt,
-            observer: false,
-            name: name.to_owned(),
-            more,
-        };
+        let me = Peer { address: address(node), order, salt, observer: false, name: name.to_owned(), more };
         let seed =
             draw::unit(self.seed, draw::Stream::Lists, (node as u64) << 32 | u64::from(state.incarnation))
                 .to_bits();
--- a/lab/src/commands/hollow.rs
+++ b/lab/src/commands/hollow.rs
@@ -5,7 +5,7 @@
 use crate::hollow::process::{self, ProcessFault};
 use crate::hollow::run::HollowRun;
 use crate::hollow::series::series;
-use crate::hollow::settings::{FaultKind, Hollow, HollowFault, Wrong};
+use crate::hollow::settings::{FaultKind, Hollow, HollowFault, Publish, Wrong};
 use crate::slopes::write_series;
 use clap::Args;
 use serde::Serialize;
@@ -44,6 +44,15 @@
     /// What happens then, one after the other
     #[arg(long, value_delimiter = ',')]
     fault: Vec<FaultKind>,
+    /// After the rest, publish so many entries a second, and a version of a state now and then
+    #[arg(long)]
+    purges: Option<u32>,
+    /// For so many seconds
+    #[arg(long, default_value_t = 60.0)]
+    publish_seconds: f64,
+    /// Faults begin while entries flow, in place of after them
+    #[arg(long)]
+    with_faults: bool,
     /// How long a region stays cut off
     #[arg(long, default_value = "30s", value_parser = humantime::parse_duration)]
     cut: Duration,
@@ -111,6 +120,12 @@
 }
 
 impl HollowArgs {
+    fn publish(&self) -> Result<Option<Publish>, Box<dyn Error>> {
+        let Some(per_second) = self.purges else { return Ok(None) };
+        let lasts = Duration::try_from_secs_f64(self.publish_seconds)?;
+        Ok(Some(Publish { per_second, lasts, with_faults: self.with_faults, ..Publish::default() }))
+    }
+
     fn hollow(&self) -> Result<Hollow, Box<dyn Error>> {
         let fault = |what: &FaultKind| {
             let lasts = match what {
@@ -132,6 +147,7 @@
             lateness: self.lateness,
             probe_every: self.probe_every,
             probe_timeout: self.probe_timeout,
+            publish: self.publish()?,
             fault: self.fault.iter().map(fault).collect(),
             ..Hollow::default()
         };
--- a/lab/src/hollow/complete.rs
+++ b/lab/src/hollow/complete.rs
@@ -1,7 +1,8 @@
 //! Complete nodes beside the hollow ones: real processes with servers, discovery and clients of their own, as the lab's
 //! experiments on real nodes have them, in a thread of their own.
 
-use super::protocol::{CompleteAddresses, Micros};
+use super::clock;
+use super::protocol::{CompleteAddresses, Life, Micros, Numbered, Reset};
 use crate::experiment::{
     Arm, Deployment, Direction, Driver, Experiment, LinkTrouble, Load, Party, Trouble, What,
 };
@@ -14,7 +15,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -64,6 +65,8 @@
     pub probe_every: Duration,
     /// How long they wait for an answer.
     pub probe_timeout: Duration,
+    /// Whether they take part in dissemination.
+    pub dissemination: bool,
 }
 
 /// Complete nodes that run.
@@ -82,6 +85,8 @@
     pub run: Run,
     /// The fewest nodes that one of them relied on at the most.
     pub see: Option<u32>,
+    /// What came to each of publishers' logs and states.
+    pub received: Vec<Life>,
 }
 
 impl Complete {
@@ -97,8 +102,18 @@
     ) -> Result<Self, CompleteError> {
         let (sender, mut told) = mpsc::channel(1);
         let folder = options.folder.clone();
-        let CompleteOptions { program, lab, lateness, location, probe_every, probe_timeout, .. } = options;
-        let company = Some(Company { seeds, location, probe_every, probe_timeout, nodes: sender });
+        let CompleteOptions {
+            program,
+            lab,
+            lateness,
+            location,
+            probe_every,
+            probe_timeout,
+            dissemination,
+            ..
+        } = options;
+        let company =
+            Some(Company { seeds, location, probe_every, probe_timeout, dissemination, nodes: sender });
         let options = Options { program, lab, folder: folder.clone(), lateness, company };
         let experiment = experiment(nodes, Duration::from_micros(length), loss);
         let arm = Arm { peers: true, ..Arm::default() };
@@ -120,12 +135,15 @@
         }
     }
 
-    /// Waits for their end.
-    pub fn end(self) -> Result<CompleteEnd, CompleteError> {
+    /// Waits for their end. `origin`: of the hollow nodes' run.
+    pub fn end(self, origin: u64) -> Result<CompleteEnd, CompleteError> {
         let run = self.thread.join().map_err(|_| CompleteError::Thread)??;
-        let logs = (0..self.nodes).map(|node| self.folder.join(format!("n{node}.log")));
-        let see = logs.map(|log| relied_on(&log)).min().flatten();
-        Ok(CompleteEnd { run, see })
+        let logs = (0..self.nodes).map(|node| read_log(&self.folder.join(format!("n{node}.log"))));
+        let logs: Vec<_> = logs.collect();
+        let see = logs.iter().map(|lines| lines.iter().filter_map(|line| line.nodes).max()).min().flatten();
+        let begun = unix_of(origin);
+        let received = logs.iter().map(|lines| received(lines, begun)).collect();
+        Ok(CompleteEnd { run, see, received })
     }
 }
 
@@ -161,16 +179,45 @@
     }
 }
 
-/// A line of a node's log on the number of nodes.
+/// A line of a node's log on its peers.
 #[derive(Debug, Deserialize)]
 struct Line {
+    timestamp: String,
     target: String,
     nodes: Option<u32>,
+    sequence: Option<u64>,
+    version: Option<u64>,
+    after: Option<u64>,
+    through: Option<u64>,
 }
 
-/// The most nodes that a node said it relies on.
-fn relied_on(log: &Path) -> Option<u32> {
+fn read_log(log: &Path) -> Vec<Line> {
     let text = std::fs::read_to_string(log).unwrap_or_default();
     let lines = text.lines().filter_map(|line| serde_json::from_str::<Line>(line).ok());
-    lines.filter(|line| line.target == "peers").filter_map(|line| line.nodes).max()
+    lines.filter(|line| line.target == "peers").collect()
+}
+
+/// Unix time at a time of the machine's monotonic clock, in microseconds.
+fn unix_of(monotonic: u64) -> u64 {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let unix = u64::try_from(unix.as_micros()).unwrap_or(u64::MAX);
+    unix.saturating_sub(clock::monotonic()).saturating_add(monotonic)
+}
+
+/// What came to a node, by its log. `begun`: the run's origin in Unix time.
+fn received(lines: &[Line], begun: u64) -> Life {
+    let mut life = Life::default();
+    for line in lines {
+        let Some(at) = time_of(line, begun) else { continue };
+        life.entries.extend(line.sequence.map(|number| Numbered { number, at }));
+        life.versions.extend(line.version.map(|number| Numbered { number, at }));
+        let left_out = line.after.zip(line.through);
+        life.resets.extend(left_out.map(|(after, through)| Reset { at, after, through }));
+    }
+    life
+}
+
+fn time_of(line: &Line, begun: u64) -> Option<Micros> {
+    let unix = humantime::parse_rfc3339(&line.timestamp).ok()?.duration_since(UNIX_EPOCH).ok()?;
+    Some(u64::try_from(unix.as_micros()).ok()?.saturating_sub(begun))
 }
--- a/lab/src/hollow/experiment.rs
+++ b/lab/src/hollow/experiment.rs
@@ -4,7 +4,7 @@
 use super::places::Map;
 use super::play::{play_all, PlayOptions};
 use super::run::HollowRun;
-use super::settings::{Hollow, HollowFault};
+use super::settings::{Hollow, HollowFault, Publish};
 use crate::scale::{Kind, RunOptions, ScaleKind, ScaleRun, TableReader};
 use std::error::Error;
 use toml::{Table, Value};
@@ -25,7 +25,7 @@
     "zones",
     "farthest",
 ];
-const TABLES: [&str; 1] = ["fault"];
+const TABLES: [&str; 2] = ["publish", "fault"];
 
 impl Hollow {
     /// The kind `[hollow]`.
@@ -54,6 +54,7 @@
             probe_every: reader.duration("probe_every").unwrap_or(standard.probe_every),
             probe_timeout: reader.duration("probe_timeout").unwrap_or(standard.probe_timeout),
             map,
+            publish: read_publish(reader),
             fault: read_faults(reader),
         }
     }
@@ -67,6 +68,16 @@
     reader.is_good().then(|| Box::new(hollow) as Box<dyn ScaleKind>)
 }
 
+fn read_publish(reader: &mut TableReader) -> Option<Publish> {
+    let table: Table = reader.optional("publish", "a table")?;
+    let read = Value::Table(table).try_into::<Publish>();
+    if let Err(error) = &read {
+        let expected = "per_second, entry_bytes, lasts, state_every, state_bytes, drain, with_faults";
+        reader.fault("publish", &error.message().replace('\n', " "), expected);
+    }
+    read.ok()
+}
+
 fn read_faults(reader: &mut TableReader) -> Vec<HollowFault> {
     let tables: Vec<Table> = reader.optional("fault", "[[hollow.fault]] tables").unwrap_or_default();
     let mut faults = Vec::new();
--- a/lab/src/hollow/experiment/tests.rs
+++ b/lab/src/hollow/experiment/tests.rs
@@ -47,7 +47,7 @@
 #[test]
 fn the_experiments_on_hollow_nodes_can_be_read() {
     let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments");
-    for name in ["scale-hollow-530", "hollow-small"] {
+    for name in ["scale-hollow-530", "capacity-hollow-dissemination", "hollow-small"] {
         let read = ScaleExperiment::load(&folder.join(format!("{name}.toml"))).unwrap();
         let read = read.unwrap_or_else(|| panic!("{name} is of no kind"));
         assert_eq!((read.name.as_str(), read.kind.table), (name, "hollow"));
--- a/lab/src/hollow/figures.rs
+++ b/lab/src/hollow/figures.rs
@@ -1,5 +1,6 @@
 //! What a run comes to, from what its processes reported. A figure that was not reached is missing.
 
+use super::deliveries;
 use super::protocol::{Micros, NodeReport, Report, Usage, ViewsOfProcess, Word};
 use super::schedule::{Phase, Schedule};
 use super::settings::FaultKind;
@@ -29,6 +30,12 @@
     ("core_fraction", "part of a core that a node takes while nothing happens: its process's over its nodes"),
     ("core_fraction_peak", "the same over the phase in which it was largest"),
     ("memory_bytes", "memory a node at the most: its process's growth over its nodes"),
+    (
+        "publish_peak_bytes",
+        "bytes a second of the node that sent most, over its largest 5 s, while entries were published",
+    ),
+    ("publish_bytes", "bytes a second a node, in the mean, while entries were published"),
+    ("publish_core_fraction", "part of a core that a node takes while entries are published"),
     ("false_lost", "words that a node is lost which was there"),
     ("came_back", "how often a node came back that others had declared gone"),
     ("dropped", "datagrams that nodes dropped as foreign, malformed or over a bound"),
@@ -66,7 +73,8 @@
             FigureMeaning { name: format!("{}_{name}", fault.name()).leak(), meaning }
         })
     });
-    of_runs.chain(of_faults).collect()
+    let of_publishing = deliveries::FIGURES.iter().map(|&(name, meaning)| FigureMeaning { name, meaning });
+    of_runs.chain(of_faults).chain(of_publishing).collect()
 });
 
 /// All figures with their meaning.
@@ -107,6 +115,9 @@
     if let Some(rest) = schedule.phases.iter().find(|phase| phase.name == "rest") {
         figures.set("core_fraction", core_fraction(told, rest));
     }
+    if let Some(publish) = schedule.phases.iter().find(|phase| phase.name == "publish") {
+        figures.set("publish_core_fraction", core_fraction(told, publish));
+    }
     figures.set("memory_bytes", memory(&told.reports) / told.nodes.max(1) as f64);
     let wrong = words.iter().filter(|word| is_false(word, &schedule.phases));
     figures.set("false_lost", wrong.count() as f64);
@@ -215,7 +226,7 @@
     }
     let mean = reports.iter().map(|node| mean(node, phase)).sum::<f64>() / nodes.max(1) as f64;
     figures.set(&name("bytes"), mean);
-    if phase.name == "rest" {
+    if phase.name == "rest" || phase.name == "publish" {
         return;
     }
     if !phase.gone.is_empty() {
--- a/lab/src/hollow/mod.rs
+++ b/lab/src/hollow/mod.rs
@@ -5,6 +5,7 @@
 pub mod children;
 pub mod clock;
 pub mod complete;
+mod deliveries;
 mod experiment;
 pub mod figures;
 pub mod machine;
--- a/lab/src/hollow/node.rs
+++ b/lab/src/hollow/node.rs
@@ -1,9 +1,10 @@
 //! One hollow node: its real membership on its real socket, with its timers, and no request path.
 
+use super::deliveries;
 use super::meters::Meters;
 use super::network::Network;
 use super::places::Place;
-use super::protocol::{Begin, Micros, NodeReport, Word};
+use super::protocol::{Begin, Life, Micros, NodeReport, Numbered, Published, Word};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::pending;
@@ -14,12 +15,21 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
+use walkpick::peers::dissemination::{
+    DisseminationConfig, DisseminationOutput, Line, PublishError, StateKey,
+};
 use walkpick::peers::{Dropped, Output, Peer, Peers, PeersConfig, Standing, ViewSummary};
 
 /// A datagram of ours is never longer.
 const LARGEST: usize = 2_048;
 /// Datagrams that are read before the timers are looked at again, as with a complete node.
 const AT_ONCE: usize = 64;
+/// A publisher's epoch: one process publishes in a run, once.
+const EPOCH: u64 = 1;
+/// The kind of its entries and of its state.
+const KIND: u16 = 1;
+/// How their payload is written: nobody reads it.
+const SCHEMA: u16 = 1;
 
 /// What all nodes of a process share.
 pub struct Shared {
@@ -33,6 +43,8 @@
     pub meters: Meters,
     /// What nodes said of others that are gone.
     pub words: RefCell<Vec<Word>>,
+    /// What nodes published.
+    pub published: RefCell<Published>,
     /// The node that is reached at an address.
     pub by_address: HashMap<SocketAddr, usize>,
 }
@@ -46,6 +58,12 @@
     Kill,
     /// To say farewell and be gone.
     Leave,
+    /// To open its log and its state for publishing.
+    OpenPublisher,
+    /// To issue an entry of so many bytes.
+    PublishEntry(usize),
+    /// To issue a version of its state of so many bytes.
+    PublishState(usize),
 }
 
 /// What others in the process see of a node.
@@ -199,9 +217,54 @@
                 self.carry_out(now);
                 self.end();
             }
+            Order::OpenPublisher => self.publish(now, |peers, out| {
+                peers.open_publisher(now, EPOCH, 1, Vec::new(), out).map(|()| None)
+            }),
+            Order::PublishEntry(bytes) => self.publish(now, |peers, out| {
+                peers
+                    .publish_log_entry(now, KIND, SCHEMA, vec![7; bytes], out)
+                    .map(|entry| Some((Line::Log, entry)))
+            }),
+            Order::PublishState(bytes) => self.publish(now, |peers, out| {
+                let version = peers.publish_state(now, KIND, SCHEMA, vec![7; bytes], out)?;
+                Ok(Some((Line::State(KIND), version)))
+            }),
         }
     }
 
+    /// Has its membership publish something, and notes what came of it.
+    fn publish(
+        &mut self,
+        now: Micros,
+        issue: impl FnOnce(&mut Peers, &mut Vec<Output>) -> Result<Option<(Line, u64)>, PublishError>,
+    ) {
+        let Some(peers) = &mut self.peers else { return };
+        let issued = issue(peers, &mut self.outputs);
+        {
+            let published = &mut *self.shared.published.borrow_mut();
+            match issued {
+                Ok(Some((Line::Log, number))) => published.entries.push(Numbered { number, at: now }),
+                Ok(Some((Line::State(_), number))) => published.versions.push(Numbered { number, at: now }),
+                Ok(None) => {}
+                Err(_) => published.refused += 1,
+            }
+        }
+        self.carry_out(now);
+    }
+
+    /// What dissemination tells this node.
+    fn hear(&mut self, now: Micros, output: DisseminationOutput) {
+        if let DisseminationOutput::StateOffered { publisher, entry } = &output {
+            let key = StateKey { publisher: *publisher, kind: entry.kind };
+            if let Some(peers) = &mut self.peers {
+                peers.decide_state(now, key, entry.epoch, entry.sequence, Ok(()), &mut self.outputs);
+            }
+            return;
+        }
+        deliveries::note(&output, now, &mut self.seen.report.borrow_mut().lives);
+        deliveries::note_published(&output, now, &mut self.shared.published.borrow_mut());
+    }
+
     fn start(&mut self, now: Micros) {
         self.end();
         self.lives += 1;
@@ -216,6 +279,7 @@
             name: name(self.seen.node),
             more: self.place.location().encode(),
         };
+        self.seen.report.borrow_mut().lives.push(Life { from: now, ..Life::default() });
         self.peers = Some(Peers::new(configuration(begin), me, draw, now));
     }
 
@@ -235,20 +299,28 @@
     }
 
     fn carry_out(&mut self, now: Micros) {
-        for output in std::mem::take(&mut self.outputs) {
-            match output {
-                Output::Send { to, data } => {
-                    super::meters::count_bytes(&mut self.seen.report.borrow_mut(), now, data.len());
-                    self.shared.network.send(self.place, &self.socket, to, data);
-                }
-                Output::Standing { peer, standing: standing @ (Standing::Lost | Standing::Left) } => {
-                    let Some(&of) = self.shared.by_address.get(&peer.address) else { continue };
-                    let word = Word { at: now, by: self.seen.node, of, standing };
-                    self.shared.words.borrow_mut().push(word);
-                }
-                Output::CameBack => self.seen.report.borrow_mut().came_back += 1,
-                _ => {}
+        // What is heard may give rise to more.
+        while !self.outputs.is_empty() {
+            for output in std::mem::take(&mut self.outputs) {
+                self.carry_out_one(now, output);
+            }
+        }
+    }
+
+    fn carry_out_one(&mut self, now: Micros, output: Output) {
+        match output {
+            Output::Send { to, data } => {
+                super::meters::count_bytes(&mut self.seen.report.borrow_mut(), now, data.len());
+                self.shared.network.send(self.place, &self.socket, to, data);
+            }
+            Output::Standing { peer, standing: standing @ (Standing::Lost | Standing::Left) } => {
+                let Some(&of) = self.shared.by_address.get(&peer.address) else { return };
+                let word = Word { at: now, by: self.seen.node, of, standing };
+                self.shared.words.borrow_mut().push(word);
             }
+            Output::CameBack => self.seen.report.borrow_mut().came_back += 1,
+            Output::Dissemination(output) => self.hear(now, output),
+            _ => {}
         }
     }
 }
@@ -266,6 +338,7 @@
         probe_every: Duration::from_micros(begin.probe_every),
         probe_timeout: Duration::from_micros(begin.probe_timeout),
         nodes: u32::try_from(begin.addresses.len() + begin.complete.len()).unwrap_or(u32::MAX),
+        dissemination: begin.dissemination.then(DisseminationConfig::default),
         ..PeersConfig::default()
     }
 }
--- a/lab/src/hollow/process.rs
+++ b/lab/src/hollow/process.rs
@@ -133,6 +133,7 @@
             network: Network::new(&begin, clock, draws),
             meters: Meters::new().map_err(system("a histogram"))?,
             words: RefCell::default(),
+            published: RefCell::default(),
             clock,
             begin,
         });
@@ -182,6 +183,9 @@
             Happening::Leave(node) => self.order(node, Order::Leave),
             Happening::Cut(region) => self.shared.network.cut(region, true),
             Happening::Heal(region) => self.shared.network.cut(region, false),
+            Happening::OpenPublisher(node) => self.order(node, Order::OpenPublisher),
+            Happening::PublishEntry { node, bytes } => self.order(node, Order::PublishEntry(bytes)),
+            Happening::PublishState { node, bytes } => self.order(node, Order::PublishState(bytes)),
         }
     }
 
@@ -210,6 +214,7 @@
         Report {
             nodes: self.seen.iter().map(|seen| seen.report()).collect(),
             words: shared.words.borrow().clone(),
+            published: shared.published.borrow().clone(),
             usage: shared.meters.usage(),
             memory_before: self.memory_before,
             late_p99,
--- a/lab/src/hollow/protocol.rs
+++ b/lab/src/hollow/protocol.rs
@@ -50,6 +50,8 @@
     pub probe_every: u64,
     /// An answer that takes longer is asked for by way of others, in microseconds.
     pub probe_timeout: u64,
+    /// Whether nodes take part in dissemination.
+    pub dissemination: bool,
     /// Regions and delays.
     pub map: Map,
     /// Part of the datagrams that are lost.
@@ -94,6 +96,22 @@
     Cut(usize),
     /// It has them back.
     Heal(usize),
+    /// A node opens its log and its state for publishing.
+    OpenPublisher(usize),
+    /// It issues an entry of its log.
+    PublishEntry {
+        /// Which node.
+        node: usize,
+        /// Bytes of the entry.
+        bytes: usize,
+    },
+    /// It issues a version of its state.
+    PublishState {
+        /// Which node.
+        node: usize,
+        /// Bytes of the state.
+        bytes: usize,
+    },
 }
 
 /// From a process to the lab.
@@ -152,6 +170,8 @@
     pub nodes: Vec<NodeReport>,
     /// What its nodes said of others that are gone.
     pub words: Vec<Word>,
+    /// What its nodes published, and heard of that.
+    pub published: Published,
     /// Processor time and memory, once a second.
     pub usage: Vec<Usage>,
     /// Memory that it held before its nodes started, in bytes.
@@ -183,6 +203,69 @@
     pub came_back: u32,
     /// Datagrams that it dropped for one of the reasons that peers count.
     pub dropped: u64,
+    /// What came to it of publishers' logs and states, by life.
+    pub lives: Vec<Life>,
+}
+
+/// What came to one life of a node.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Life {
+    /// When it began.
+    pub from: Micros,
+    /// Entries of the log, as they were handed over.
+    pub entries: Vec<Numbered>,
+    /// Versions of the state that were in force, as they came.
+    pub versions: Vec<Numbered>,
+    /// Entries that it was told to be left out.
+    pub resets: Vec<Reset>,
+}
+
+/// An entry or a version, and when something became of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Numbered {
+    /// Its sequence or version.
+    pub number: u64,
+    /// When.
+    pub at: Micros,
+}
+
+/// Entries that are left out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reset {
+    /// When that was told.
+    pub at: Micros,
+    /// The last one before them.
+    pub after: u64,
+    /// The last one of them.
+    pub through: u64,
+}
+
+/// What was published, and what became of it as its publisher was told.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Published {
+    /// Entries of the log.
+    pub entries: Vec<Numbered>,
+    /// Versions of the state.
+    pub versions: Vec<Numbered>,
+    /// What could not be published.
+    pub refused: u64,
+    /// Entries that all present nodes have applied.
+    pub entries_acknowledged: Vec<Acknowledged>,
+    /// Versions that are in force at all present nodes.
+    pub versions_acknowledged: Vec<Acknowledged>,
+    /// How often the publisher was told who lacks something.
+    pub unacknowledged: u64,
+}
+
+/// A publisher's word that all present nodes have applied something.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Acknowledged {
+    /// The entry or version.
+    pub number: u64,
+    /// When that was told.
+    pub at: Micros,
+    /// How many nodes.
+    pub nodes: u32,
 }
 
 /// A node's word on another one.
--- a/lab/src/hollow/run.rs
+++ b/lab/src/hollow/run.rs
@@ -3,6 +3,7 @@
 use super::children::{ChildError, HollowProcess, Listening, What};
 use super::clock;
 use super::complete::{Complete, CompleteEnd, CompleteError, CompleteOptions};
+use super::deliveries::delivery_figures;
 use super::figures::{figures, Told, Watch};
 use super::machine::{Need, TooLarge};
 use super::protocol::{Begin, NodeToOpen};
@@ -146,6 +147,7 @@
         seeds,
         probe_every: plan.hollow.probe_every.as_micros() as u64,
         probe_timeout: plan.hollow.probe_timeout.as_micros() as u64,
+        dissemination: plan.hollow.publish.is_some(),
         map: plan.hollow.map,
         loss: plan.loss,
         seed: plan.seed,
@@ -160,7 +162,7 @@
         stop.store(true, Ordering::Relaxed);
     }
     // They end in any case before the lab goes on.
-    let ended = complete.map(Complete::end).transpose();
+    let ended = complete.map(|complete| complete.end(begin.origin)).transpose();
     let told = heard?;
     Ok(judge(plan, &schedule, told, ended?))
 }
@@ -215,6 +217,7 @@
         location: plan.hollow.map.place(0).location(),
         probe_every: plan.hollow.probe_every,
         probe_timeout: plan.hollow.probe_timeout,
+        dissemination: plan.hollow.publish.is_some(),
     };
     let nodes = plan.hollow.complete;
     let started =
@@ -281,6 +284,10 @@
     let Some(told) = told else { return run };
     run.figures = figures(schedule, &told);
     run.void = why_void(plan, &run.figures, &told);
+    if plan.hollow.publish.is_some() {
+        let of_complete = complete.iter().flat_map(|complete| &complete.received);
+        run.figures.extend(delivery_figures(schedule, &told, of_complete));
+    }
     if let Some(complete) = complete {
         let void = complete.run.void.clone().map(|why| format!("the complete nodes' run: {why}"));
         run.void = run.void.or(void);
--- a/lab/src/hollow/schedule.rs
+++ b/lab/src/hollow/schedule.rs
@@ -1,10 +1,11 @@
 //! When what happens in a run: starts, the rest, faults one after the other, and their ends.
 
 use super::protocol::{Event, Happening, Micros};
-use super::settings::{FaultKind, Hollow, HollowFault};
+use super::settings::{FaultKind, Hollow, HollowFault, Publish};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+const SECOND: Micros = 1_000_000;
 /// Nodes that are restarted at once.
 const RESTARTED: usize = 32;
 /// From this zone nodes are killed; node 0 and its complete neighbours stand in zone 0.
@@ -42,6 +43,35 @@
     pub end: Micros,
 }
 
+/// Between the opening of a publisher and its first entry.
+const OPENED: Micros = 1_000_000;
+/// Entries flow for so long before faults begin, where they begin among them.
+const UNDISTURBED: Micros = 10_000_000;
+
+/// The node that publishes: one that no fault meets, where there is one.
+fn publisher(nodes: usize, phases: &[Phase]) -> usize {
+    let is_met =
+        |node: &usize| phases.iter().any(|phase| phase.gone.contains(node) || phase.cut.contains(node));
+    let middle = nodes / 2;
+    (middle..nodes).chain(0..middle).find(|node| !is_met(node)).unwrap_or(middle)
+}
+
+fn publishing_takes(publish: &Publish) -> Micros {
+    OPENED + micros(publish.lasts) + micros(publish.drain)
+}
+
+fn publish_events(publish: &Publish, from: Micros, node: usize) -> Vec<Event> {
+    let mut events = vec![Event { at: from, what: Happening::OpenPublisher(node) }];
+    let (begin, lasts) = (from + OPENED, micros(publish.lasts));
+    let every = |gap: Micros| (0..lasts.div_ceil(gap.max(1))).map(move |place| begin + place * gap.max(1));
+    let entry = Happening::PublishEntry { node, bytes: publish.entry_bytes };
+    let state = Happening::PublishState { node, bytes: publish.state_bytes };
+    let gap = SECOND / Micros::from(publish.per_second.max(1));
+    events.extend(every(gap).map(|at| Event { at, what: entry.clone() }));
+    events.extend(every(micros(publish.state_every)).map(|at| Event { at, what: state.clone() }));
+    events
+}
+
 fn micros(time: Duration) -> Micros {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
@@ -63,15 +93,24 @@
             .collect();
         let (met, rested) = (micros(hollow.meet), micros(hollow.meet) + micros(hollow.rest));
         let mut phases = vec![Phase::quiet("join", 0, met), Phase::quiet("rest", met, rested)];
-        let mut from = rested;
+        let (mut from, mut end) = (rested, rested);
+        if let Some(publish) = &hollow.publish {
+            let publishing = Phase::quiet("publish", rested, rested + publishing_takes(publish));
+            end = publishing.to;
+            from = if publish.with_faults { rested + UNDISTURBED } else { end };
+            phases.push(publishing);
+        }
         for fault in &hollow.fault {
             let phase = Phase::of(fault, hollow, nodes, from);
             events.extend(phase.events(fault.what, region_cut(hollow)));
             from = phase.to;
             phases.push(phase);
         }
+        if let Some(publish) = &hollow.publish {
+            events.extend(publish_events(publish, rested, publisher(nodes, &phases)));
+        }
         events.sort_by_key(|event| event.at);
-        Self { events, phases, end: from }
+        Self { events, phases, end: end.max(from) }
     }
 }
 
--- a/lab/src/hollow/schedule/tests.rs
+++ b/lab/src/hollow/schedule/tests.rs
@@ -39,9 +39,42 @@
                 Happening::Kill(node) | Happening::Leave(node) => assert!(running.remove(&node)),
                 Happening::Cut(region) => assert!(cut.insert(region)),
                 Happening::Heal(region) => assert!(cut.remove(&region)),
+                _ => unreachable!("nothing is published"),
             }
         }
         assert_eq!(running.len(), nodes);
         assert!(cut.is_empty());
     }
 }
+
+#[test]
+fn one_node_that_no_fault_meets_publishes_all_that_is_asked_for() {
+    let kinds = [FaultKind::Kill, FaultKind::Rack, FaultKind::Zone, FaultKind::Restart, FaultKind::Region];
+    for with_faults in [false, true] {
+        let publish = Some(Publish { with_faults, ..Publish::default() });
+        let schedule = Schedule::new(&Hollow { publish, ..hollow(&kinds) }, 530);
+        let publishers: BTreeSet<_> = schedule
+            .events
+            .iter()
+            .filter_map(|event| match event.what {
+                Happening::OpenPublisher(node)
+                | Happening::PublishEntry { node, .. }
+                | Happening::PublishState { node, .. } => Some(node),
+                _ => None,
+            })
+            .collect();
+        let publisher = *publishers.first().unwrap();
+        assert_eq!(publishers.len(), 1);
+        assert!(schedule.phases.iter().all(|phase| !phase.gone.contains(&publisher)));
+        assert!(schedule.phases.iter().all(|phase| !phase.cut.contains(&publisher)));
+        let entries =
+            schedule.events.iter().filter(|event| matches!(event.what, Happening::PublishEntry { .. }));
+        let times: Vec<_> = entries.map(|event| event.at).collect();
+        assert!((360..=361).contains(&times.len()), "{}", times.len());
+        let publishing = &schedule.phases[2];
+        assert!(times.iter().all(|at| (publishing.from..publishing.to).contains(at)));
+        let first_fault = schedule.phases[3].from;
+        assert_eq!(first_fault < publishing.to, with_faults);
+        assert!(schedule.end >= publishing.to);
+    }
+}
--- a/lab/src/hollow/series.rs
+++ b/lab/src/hollow/series.rs
@@ -17,6 +17,11 @@
     ("memory_bytes", "hollow.memory_bytes", "B"),
     ("kill_known_all_s", "hollow.seconds_to_know.kill", "s"),
     ("met_s", "hollow.seconds_to_meet", "s"),
+    ("publish_peak_bytes", "hollow.bytes_per_second.peak.publish", "B/s"),
+    ("publish_core_fraction", "hollow.processor_core_fraction.publish", "core"),
+    ("log_largest_s", "hollow.seconds_to_all.log", "s"),
+    ("state_largest_s", "hollow.seconds_to_all.state", "s"),
+    ("acknowledged_largest_s", "hollow.seconds_to_acknowledge.log", "s"),
 ];
 
 /// The series of runs that count: void and interrupted ones give no points. Each loss above zero has series of its own.
--- a/lab/src/hollow/settings.rs
+++ b/lab/src/hollow/settings.rs
@@ -4,6 +4,7 @@
 use crate::cluster::topology::REGIONS;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
+use walkpick::peers::dissemination::LARGEST_PAYLOAD;
 use walkpick::peers::PeersConfig;
 
 /// Processes that share the hollow nodes, at the most.
@@ -47,10 +48,62 @@
     pub probe_timeout: Duration,
     /// Regions and zones.
     pub map: Map,
-    /// What happens after the rest, one after the other.
+    /// What is published after the rest; nodes take part in dissemination where something is.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub publish: Option<Publish>,
+    /// What happens after that, one after the other.
     pub fault: Vec<HollowFault>,
 }
 
+/// What a publisher issues.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Publish {
+    /// Entries of its log, a second.
+    pub per_second: u32,
+    /// Bytes of each.
+    pub entry_bytes: usize,
+    /// For so long.
+    #[serde(with = "humantime_serde")]
+    pub lasts: Duration,
+    /// Between two versions of its state.
+    #[serde(with = "humantime_serde")]
+    pub state_every: Duration,
+    /// Bytes of each.
+    pub state_bytes: usize,
+    /// After the last entry, all have so long.
+    #[serde(with = "humantime_serde")]
+    pub drain: Duration,
+    /// Faults begin while entries flow, in place of after them.
+    pub with_faults: bool,
+}
+
+impl Default for Publish {
+    fn default() -> Self {
+        let seconds = Duration::from_secs;
+        Self {
+            per_second: 6,
+            entry_bytes: 128,
+            lasts: seconds(60),
+            state_every: seconds(10),
+            state_bytes: 800,
+            drain: seconds(8),
+            with_faults: false,
+        }
+    }
+}
+
+impl Publish {
+    fn tell_faults(&self, found: &mut Bounds) {
+        found.within("publish.per_second", f64::from(self.per_second), 1.0, 1_000.0);
+        found.within("publish.entry_bytes", self.entry_bytes as f64, 1.0, LARGEST_PAYLOAD as f64);
+        found.within("publish.state_bytes", self.state_bytes as f64, 1.0, LARGEST_PAYLOAD as f64);
+        found.seconds("publish.lasts", self.lasts, 1.0, 3_600.0);
+        found.seconds("publish.state_every", self.state_every, 0.1, 3_600.0);
+        found.seconds("publish.drain", self.drain, 0.0, 600.0);
+    }
+}
+
 impl Default for Hollow {
     fn default() -> Self {
         let ms = Duration::from_millis;
@@ -68,6 +121,7 @@
             probe_every,
             probe_timeout,
             map: Map::default(),
+            publish: None,
             fault: Vec::new(),
         }
     }
@@ -159,6 +213,7 @@
         found.within("map.regions", self.map.regions as f64, 1.0, REGIONS as f64);
         found.within("map.zones", self.map.zones as f64, self.map.regions.max(1) as f64, 256.0);
         found.seconds("map.farthest", self.map.farthest, 0.001, 2.0);
+        self.publish.iter().for_each(|publish| publish.tell_faults(&mut found));
         for (i, fault) in self.fault.iter().enumerate() {
             found.seconds(&format!("fault {}: lasts", i + 1), fault.lasts, 0.1, 600.0);
             found.seconds(&format!("fault {}: after", i + 1), fault.after, 1.0, 600.0);
--- a/lab/src/real/mod.rs
+++ b/lab/src/real/mod.rs
@@ -104,6 +104,8 @@
     pub probe_every: Duration,
     /// How long they wait for an answer before they ask others.
     pub probe_timeout: Duration,
+    /// Whether they take part in dissemination.
+    pub dissemination: bool,
     /// Is told where the nodes are, before they start.
     pub nodes: mpsc::Sender<Vec<Reached>>,
 }
--- a/lab/src/real/nodes.rs
+++ b/lab/src/real/nodes.rs
@@ -158,6 +158,10 @@
             peers["zone"] = company.location.zone.clone().into();
             peers["probe_every"] = time(company.probe_every).into();
             peers["probe_timeout"] = time(company.probe_timeout).into();
+            if company.dissemination {
+                peers["dissemination"] = "on".into();
+                config["walkpick"]["log"]["levels"] = json!({"peers": "debug"});
+            }
         }
     }
     config
--- a/src/net/config/section.rs
+++ b/src/net/config/section.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
+use walkpick::peers::dissemination::DisseminationConfig;
 use walkpick::peers::{CountRules, Location, PeersConfig};
 
 /// The section, with a default for each value.
@@ -24,6 +25,7 @@
 pub struct PeersSection {
     pub advertise: Option<SocketAddr>,
     pub cluster: String,
+    pub dissemination: Switch,
     #[serde(with = "humantime_serde")]
     pub hold: Duration,
     pub listen: Option<SocketAddr>,
@@ -46,6 +48,7 @@
         Self {
             advertise: None,
             cluster,
+            dissemination: Switch::Off,
             hold,
             listen: None,
             memory,
@@ -70,6 +73,7 @@
             probe_timeout: self.probe_timeout,
             count: CountRules { hold: self.hold, memory: self.memory, ..base.count },
             nodes,
+            dissemination: (self.dissemination == Switch::On).then(DisseminationConfig::default),
             ..base
         }
     }
@@ -81,6 +85,14 @@
     }
 }
 
+/// Whether a part of the program works.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Switch {
+    Off,
+    On,
+}
+
 /// What is written to standard error, and how.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -206,6 +218,12 @@
         default: "\"walkpick\"",
         about: "datagrams of a cluster with another name are dropped",
     },
+    Item {
+        path: "peers.dissemination",
+        kind: Kind::OneOf(&["off", "on"]),
+        default: "\"off\"",
+        about: "whether entries and states of publishers reach this node and go on from it; at all nodes of a cluster or at none",
+    },
     Item {
         path: "peers.hold",
         kind: Kind::Time(Duration::from_secs(1), Duration::from_secs(3600)),
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -7,7 +7,8 @@
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::time::{sleep_until, Duration, Instant};
-use tracing::{error, info, warn};
+use tracing::{debug, error, info, warn};
+use walkpick::peers::dissemination::{DisseminationOutput, Entry, StateKey};
 use walkpick::peers::{Agreement, Location, Micros, Output, Peer, Peers, PeersConfig, Standing};
 
 use super::lifecycle::Stage;
@@ -108,9 +109,22 @@
             match output {
                 // What cannot be sent at once is lost, as on any network.
                 Output::Send { to, data } => drop(self.socket.try_send_to(&data, to)),
+                Output::Dissemination(DisseminationOutput::StateOffered { publisher, entry }) => {
+                    self.accept(publisher, &entry);
+                }
                 other => told.push(other),
             }
         }
+        // What an accepted state gives rise to.
+        if !self.out.is_empty() {
+            self.carry_out(told);
+        }
+    }
+
+    /// No part of the program acts on a state yet: each is in force as it comes.
+    fn accept(&mut self, publisher: u64, entry: &Entry) {
+        let (now, key) = (self.now(), StateKey { publisher, kind: entry.kind });
+        self.peers.decide_state(now, key, entry.epoch, entry.sequence, Ok(()), &mut self.out);
     }
 }
 
@@ -165,6 +179,28 @@
             error!(target: "peers", %address, yields, "another process claims this node's name");
         }
         Output::CameBack => warn!(target: "peers", "others took this node for gone; it is back"),
-        Output::Send { .. } | Output::Dissemination(_) => {}
+        Output::Dissemination(output) => hear_publisher(&output),
+        Output::Send { .. } => {}
+    }
+}
+
+fn hear_publisher(output: &DisseminationOutput) {
+    match output {
+        DisseminationOutput::Deliver { publisher, entry } => {
+            let (epoch, sequence) = (entry.epoch, entry.sequence);
+            debug!(target: "peers", publisher, epoch, sequence, "an entry of a log has come");
+        }
+        DisseminationOutput::StateInForce { publisher, entry } => {
+            let (epoch, version) = (entry.epoch, entry.sequence);
+            debug!(target: "peers", publisher, epoch, version, "a state is in force");
+        }
+        DisseminationOutput::LogReset { publisher, after, through } => {
+            info!(target: "peers", publisher, after, through, "entries of a log are left out");
+        }
+        DisseminationOutput::Stale { publisher, behind } => {
+            warn!(target: "peers", publisher, behind, "this node is behind in a log");
+        }
+        // The other words are for publishers, which the program is not.
+        _ => {}
     }
 }
