--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -2,11 +2,13 @@
 //! `name`, `about` and `[[check]]`. A kind implements [`ScaleKind`] and has a line in [`KINDS`].
 
 mod check;
+mod dissemination;
 mod experiment;
 mod membership;
 mod reader;
 
 pub use check::{CheckOutcome, ScaleCheck};
+pub use dissemination::DisseminationExperiment;
 pub use experiment::ScaleExperiment;
 pub use membership::MembershipExperiment;
 pub use reader::TableReader;
@@ -29,7 +31,7 @@
 }
 
 /// All kinds.
-pub const KINDS: [Kind; 2] = [MembershipExperiment::KIND, Hollow::KIND];
+pub const KINDS: [Kind; 3] = [DisseminationExperiment::KIND, Hollow::KIND, MembershipExperiment::KIND];
 
 /// What one kind of experiment does.
 pub trait ScaleKind {
