--- a/lab/src/real/link.rs
+++ b/lab/src/real/link.rs
@@ -27,6 +27,9 @@
 /// Datagrams that may be on their way in one direction; the next ones are lost.
 const DATAGRAMS: usize = 1_024;
 const BACKLOG: i32 = 1_024;
+/// Waits for a port that another process may still hold, and how often.
+const LET_GO_WAIT: Duration = Duration::from_millis(1);
+const LET_GO_TRIES: u32 = 1_000;
 /// Wait before a link tries again to listen.
 const RETRY: Duration = Duration::from_millis(10);
 
@@ -123,9 +126,19 @@
         self.address
     }
 
-    /// Leaves it to the process.
+    /// Leaves it to the process. A child that was started a moment ago may hold the socket as well, until the system has
+    /// made another program of it: it is waited for.
     pub fn let_go(&self) {
-        self.socket.take();
+        if self.socket.take().is_none() {
+            return;
+        }
+        let is_free = || std::net::UdpSocket::bind(self.address).is_ok();
+        let _ = (0..LET_GO_TRIES).any(|_| {
+            is_free() || {
+                std::thread::sleep(LET_GO_WAIT);
+                false
+            }
+        });
     }
 }
 
