--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -275,3 +275,6 @@
         self.membership.view(now)
     }
 }
+
+#[cfg(test)]
+mod tests;
