--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -13,6 +13,7 @@
 pub use membership::MembershipExperiment;
 pub use reader::TableReader;
 
+use crate::hollow::settings::Hollow;
 use std::collections::BTreeMap;
 use std::error::Error;
 use std::ops::Range;
@@ -30,7 +31,7 @@
 }
 
 /// All kinds.
-pub const KINDS: [Kind; 2] = [DisseminationExperiment::KIND, MembershipExperiment::KIND];
+pub const KINDS: [Kind; 3] = [DisseminationExperiment::KIND, Hollow::KIND, MembershipExperiment::KIND];
 
 /// What one kind of experiment does.
 pub trait ScaleKind {
