Capacity: rows take the measuring commands' series as they are named

Sizes are understood for refusals, requests in flight and the servers of a zone; the request path's memory counts a server's connection once; the largest seconds of trials and of the log have their figures.

--- a/lab/src/capacity/rows/cache_server.rs
+++ b/lab/src/capacity/rows/cache_server.rs
@@ -88,6 +88,14 @@
                 context.largest("trials.requests_per_second.returning", Resource::Messages)
             })
             .called("requests to a returning one"),
+            need(Resource::Messages, |context| {
+                context.largest("trials.requests_per_second.returning.largest", Resource::Messages)
+            })
+            .called("the same, in the largest second"),
+            need(Resource::Messages, |context| {
+                context.largest("trials.connections_per_second.returning.largest", Resource::Messages)
+            })
+            .called("new connections to it, in the largest second"),
         ],
     )
 }
--- a/lab/src/capacity/rows/control.rs
+++ b/lab/src/capacity/rows/control.rs
@@ -283,7 +283,10 @@
         Case::RackLost => peak("rack"),
         Case::ZoneLost => peak("zone"),
         Case::RegionCut => peak("region"),
-        Case::OtherTrouble => peak("join"),
+        Case::OtherTrouble => {
+            let others = ["hollow.bytes_per_second.peak.join", "hollow.bytes_per_second.peak.kill"];
+            context.largest_of(&others, Resource::Bytes)
+        }
         Case::RegionReturn | Case::Release => Err(Gap::NotApplicable),
     }
 }
--- a/lab/src/capacity/rows/request_path.rs
+++ b/lab/src/capacity/rows/request_path.rs
@@ -53,6 +53,11 @@
             within(Resource::Processor, CORE, demand::request_core_budget, |context| {
                 request_cores(context, rate(context))
             }),
+            within(Resource::Processor, CORE, demand::request_core_budget, |context| {
+                let cost = context.mean("request.processor_seconds_by_answer_bytes", Resource::Seconds)?;
+                Ok(cost.times(rate(context)))
+            })
+            .called("with the largest answers"),
             within(Resource::Memory, MEMORY, demand::node_memory_budget, request_memory),
         ],
     )
@@ -169,7 +174,10 @@
             Case::OrdinaryDay | Case::Peak => {
                 context.first_of(&["log.bytes_per_second.calm"], Resource::Bytes)
             }
-            Case::ZoneLost => context.first_of(&["log.bytes_per_second.zone_lost"], Resource::Bytes),
+            Case::ZoneLost => context.first_of(
+                &["log.bytes_per_second.zone_lost.largest", "log.bytes_per_second.zone_lost"],
+                Resource::Bytes,
+            ),
             _ => Err(Gap::NotApplicable),
         })],
     )
@@ -196,7 +204,9 @@
 
 fn request_memory(context: &Context) -> Needed {
     let open = demand::in_flight_per_node(context.plan, context.case);
-    let connections = open + demand::connections_to_servers(context.plan, context.case);
+    // A request in flight has its server's connection with it: what is left are its client's and those that rest.
+    let resting = (demand::connections_to_servers(context.plan, context.case) - open).max(0.0);
+    let connections = open + resting;
     let per_request = context.mean("request.memory_per_in_flight", Resource::Memory)?;
     let per_connection = context.mean("request.memory_per_connection", Resource::Memory)?;
     Ok(per_request.times(open).plus(per_connection.times(connections)))
--- a/lab/src/capacity/tests.rs
+++ b/lab/src/capacity/tests.rs
@@ -191,6 +191,36 @@
     assert!(other.at_least && other.number == 8_000.0, "three of four were not measured: {other:?}");
 }
 
+#[test]
+fn what_series_stand_against_is_understood() {
+    let plan = shipped();
+    let size = |against: &str| {
+        let size = values::size_against(against, &plan, Case::Peak, 755.0);
+        size.map(|size| size.round())
+    };
+    let expected = [
+        ("nodes", Some(530.0)),
+        ("watches", Some(530.0)),
+        ("servers", Some(110.0)),
+        ("servers of the zone", Some(6.0)),
+        ("servers lost", Some(6.0)),
+        ("nodes lost", Some(28.0)),
+        ("zones", Some(19.0)),
+        ("classes", Some(4.0)),
+        ("tenants", Some(1.0)),
+        ("requests a second", Some(755.0)),
+        ("refusals a second", Some(755.0)),
+        ("requests a second of the node", Some(755.0)),
+        ("requests in flight", Some(87.0)),
+        ("connections of clients", Some(87.0)),
+        ("bytes of an answer", Some(65_536.0)),
+        ("moons", None),
+    ];
+    for (against, number) in expected {
+        assert_eq!(size(against), number, "{against}");
+    }
+}
+
 #[test]
 fn a_unit_that_is_not_understood_gives_no_figure() {
     let plan = shipped();
