--- a/lab/src/capacity/rows/control.rs
+++ b/lab/src/capacity/rows/control.rs
@@ -71,16 +71,10 @@
                 _ => Err(Gap::NotApplicable),
             })
             .called("headers of UDP and IP beside it"),
-            cores(membership_cores),
+            cores(membership_cores).called("its code without sockets"),
             memory(membership_memory),
-            need(Resource::Seconds, |context| {
-                by_case(context, "membership.seconds_to_know.", Resource::Seconds)
-            })
-            .called("to know"),
-            need(Resource::Seconds, |context| {
-                by_case(context, "membership.seconds_to_agree.", Resource::Seconds)
-            })
-            .called("to agree"),
+            need(Resource::Seconds, seconds_to_know).called("until all know"),
+            need(Resource::Seconds, seconds_to_agree).called("until views agree"),
         ],
     )
 }
@@ -121,7 +115,7 @@
         vec![
             need(Resource::Messages, |context| Ok(Value::plan(context.plan.purges_per_second)))
                 .called("entries"),
-            bytes(dissemination_bytes).called("largest 5 s mean"),
+            bytes(dissemination_bytes).called("largest 5 s mean, membership's with it"),
             memory(|context| context.largest("dissemination.memory", Resource::Memory)),
             within(
                 Resource::Seconds,
@@ -183,7 +177,7 @@
         |_| "as above".to_owned(),
         Mechanism::Modules("src/peers/budget.rs"),
         vec![
-            bytes(|context| Ok(membership_bytes(context)?.plus(dissemination_bytes(context)?))),
+            bytes(bytes_together).called("should both peaks fall together"),
             memory(|context| {
                 let dissemination = context.largest("dissemination.memory", Resource::Memory)?;
                 Ok(membership_memory(context)?.plus(dissemination))
@@ -199,7 +193,7 @@
         Mechanism::Modules("src/peers/, src/net/peers.rs"),
         vec![
             bytes(hollow_bytes).called("largest 5 s mean"),
-            cores(|context| in_calm(context, "hollow.processor_core_fraction", Resource::Processor)),
+            cores(hollow_cores),
             memory(|context| in_calm(context, "hollow.memory_bytes", Resource::Memory)),
             within(
                 Resource::Seconds,
@@ -228,10 +222,21 @@
 }
 
 fn membership_bytes(context: &Context) -> Needed {
+    let rest = || {
+        context.first_of(
+            &["membership.bytes_per_second.peak.rest", "membership.bytes_per_second.rest"],
+            Resource::Bytes,
+        )
+    };
     match context.case {
-        Case::OrdinaryDay | Case::Peak => {
-            context.largest("membership.bytes_per_second.rest", Resource::Bytes)
+        // Single machines fail on an ordinary day.
+        Case::OrdinaryDay => {
+            match context.largest("membership.bytes_per_second.peak.kill", Resource::Bytes) {
+                Ok(kill) => Ok(rest()?.largest(kill)),
+                Err(_) => rest(),
+            }
         }
+        Case::Peak => rest(),
         _ => by_case(context, "membership.bytes_per_second.peak.", Resource::Bytes),
     }
 }
@@ -255,13 +260,37 @@
     }
 }
 
-fn membership_cores(context: &Context) -> Needed {
+/// What is lost without a farewell has to be noticed.
+fn seconds_to_know(context: &Context) -> Needed {
+    const NAME: &str = "membership.seconds_to_know.";
     match context.case {
-        Case::OrdinaryDay | Case::Peak => context.beginning("membership.processor_", Resource::Processor),
+        Case::OrdinaryDay => context.largest(&format!("{NAME}kill"), Resource::Seconds),
+        Case::RackLost | Case::ZoneLost | Case::RegionCut => by_case(context, NAME, Resource::Seconds),
         _ => Err(Gap::NotApplicable),
     }
 }
 
+/// While a region is cut off, views cannot agree.
+fn seconds_to_agree(context: &Context) -> Needed {
+    match context.case {
+        Case::RegionCut => Err(Gap::NotApplicable),
+        _ => by_case(context, "membership.seconds_to_agree.", Resource::Seconds),
+    }
+}
+
+fn membership_cores(context: &Context) -> Needed {
+    let of =
+        |case: &str| context.mean(&format!("membership.processor_core_fraction.{case}"), Resource::Processor);
+    match context.case {
+        Case::OrdinaryDay | Case::Peak => of("rest"),
+        Case::RestartsAtOnce => of("restarts32"),
+        Case::ZoneLost => of("zone"),
+        Case::Release => of("release"),
+        Case::OtherTrouble => of("join"),
+        Case::RackLost | Case::RegionCut | Case::RegionReturn => Err(Gap::NotApplicable),
+    }
+}
+
 fn membership_memory(context: &Context) -> Needed {
     let each = context.largest("membership.memory_per_member", Resource::Memory)?;
     Ok(each.times(context.plan.nodes))
@@ -271,6 +300,29 @@
     context.largest("dissemination.bytes_per_second.peak", Resource::Bytes)
 }
 
+/// Dissemination is measured with a membership at rest beside it, which is not to count twice.
+fn bytes_together(context: &Context) -> Needed {
+    let both = dissemination_bytes(context)?;
+    match context.case {
+        Case::OrdinaryDay | Case::Peak => Ok(both),
+        _ => {
+            let rest = context.mean("membership.bytes_per_second.rest", Resource::Bytes)?;
+            Ok(membership_bytes(context)?.plus(both).plus(rest.times(-1.0)))
+        }
+    }
+}
+
+fn hollow_cores(context: &Context) -> Needed {
+    match context.case {
+        Case::OrdinaryDay => context.largest("hollow.processor_core_fraction", Resource::Processor),
+        Case::Peak => context.first_of(
+            &["hollow.processor_core_fraction.publish", "hollow.processor_core_fraction"],
+            Resource::Processor,
+        ),
+        _ => Err(Gap::NotApplicable),
+    }
+}
+
 fn hollow_bytes(context: &Context) -> Needed {
     let peak = |case: &str| context.largest(&format!("hollow.bytes_per_second.peak.{case}"), Resource::Bytes);
     match context.case {
--- a/lab/src/capacity/rows/mod.rs
+++ b/lab/src/capacity/rows/mod.rs
@@ -149,7 +149,7 @@
     pub fn modules(self, slopes: &SlopesFile) -> Option<&'static str> {
         match self {
             Self::Modules(modules) => Some(modules),
-            Self::OnceMeasured { modules, series, .. } => slopes.find(series).map(|_| modules),
+            Self::OnceMeasured { modules, series, .. } => is_there(slopes, series).then_some(modules),
             Self::Missing(_) => None,
         }
     }
@@ -158,13 +158,18 @@
     pub fn missing(self, slopes: &SlopesFile) -> Option<&'static str> {
         match self {
             Self::Modules(_) => None,
-            Self::OnceMeasured { name, series, .. } if slopes.find(series).is_none() => Some(name),
+            Self::OnceMeasured { name, series, .. } if !is_there(slopes, series) => Some(name),
             Self::OnceMeasured { .. } => None,
             Self::Missing(name) => Some(name),
         }
     }
 }
 
+/// Whether a series shows a mechanism at work, in whatever conditions.
+fn is_there(slopes: &SlopesFile, series: &str) -> bool {
+    slopes.recorded().iter().any(|one| one.series.name.starts_with(series))
+}
+
 /// What carries entries to all nodes in their order, and tells who has them.
 const DISSEMINATION: &str = "ordered dissemination to all nodes";
 /// A replicated log on the control machines.
--- a/lab/src/capacity/rows/request_path.rs
+++ b/lab/src/capacity/rows/request_path.rs
@@ -193,7 +193,7 @@
 
 /// Seconds of the core for one message at this rate, by the first of the names that was measured.
 fn cost_at(context: &Context, names: &[&str], rate: f64) -> Needed {
-    let known = names.iter().find(|name| context.slopes.find(name).is_some());
+    let known = names.iter().find(|name| context.is_measured(name));
     let name = known.or(names.last()).copied().unwrap_or_default();
     context.at_rate(name, Resource::Seconds, rate)
 }
--- a/lab/src/capacity/tests.rs
+++ b/lab/src/capacity/tests.rs
@@ -191,6 +191,33 @@
     assert!(other.at_least && other.number == 8_000.0, "three of four were not measured: {other:?}");
 }
 
+#[test]
+fn a_series_that_was_measured_in_other_conditions_alone_counts() {
+    let plan = shipped();
+    let measured = slopes(&[
+        ("membership.bytes_per_second.peak.zone.regions", "B/s", "nodes", |_| 7_000.0),
+        ("membership.bytes_per_second.peak.zone.loss-5-percent.regions", "B/s", "nodes", |_| 7_500.0),
+        ("membership.bytes_per_second.peak.zone_share", "B/s", "nodes", |_| 9_900.0),
+    ]);
+    let context = Context { plan: &plan, slopes: &measured, case: Case::ZoneLost };
+    assert_eq!((membership_bytes().of)(&context).unwrap().number, 7_500.0);
+}
+
+#[test]
+fn dissemination_and_membership_at_rest_are_not_counted_twice() {
+    let plan = shipped();
+    let measured = slopes(&[
+        ("membership.bytes_per_second.rest", "B/s", "nodes", |_| 600.0),
+        ("membership.bytes_per_second.peak.zone", "B/s", "nodes", |_| 7_000.0),
+        ("dissemination.bytes_per_second.peak", "B/s", "nodes", |_| 5_000.0),
+    ]);
+    let row = find(Role::Control, "membership and dissemination together");
+    let of =
+        |case: Case| (need_of(&row, Resource::Bytes).of)(&Context { plan: &plan, slopes: &measured, case });
+    assert_eq!(of(Case::Peak).unwrap().number, 5_000.0);
+    assert_eq!(of(Case::ZoneLost).unwrap().number, 11_400.0);
+}
+
 #[test]
 fn what_series_stand_against_is_understood() {
     let plan = shipped();
--- a/lab/src/capacity/values.rs
+++ b/lab/src/capacity/values.rs
@@ -5,8 +5,17 @@
 use crate::slopes::{Estimate, Reach, Recorded, SlopesFile};
 use std::collections::BTreeSet;
 
-/// What the name of a series goes on with where it was measured with datagrams lost.
-const LOSS_SUFFIX: &str = ".loss";
+/// What the name of a series goes on with where it was measured with datagrams lost, or with regions that lie apart.
+const VARIANTS: [&str; 2] = [".loss", ".regions"];
+
+/// The series of this name, and those of the same in other conditions; the plain one first.
+fn variants<'a>(slopes: &'a SlopesFile, name: &str) -> Vec<&'a Recorded> {
+    let other = |one: &&Recorded| {
+        let rest = one.series.name.strip_prefix(name);
+        rest.is_some_and(|rest| VARIANTS.iter().any(|variant| rest.starts_with(variant)))
+    };
+    slopes.find(name).into_iter().chain(slopes.recorded().iter().filter(other)).collect()
+}
 
 /// A number that rows compute with.
 #[derive(Clone, Debug, PartialEq)]
@@ -105,9 +114,14 @@
         self.series(name, resource, Plays::Mean, rate)
     }
 
+    /// Whether there is such a series, in whatever conditions.
+    pub fn is_measured(&self, name: &str) -> bool {
+        !variants(self.slopes, name).is_empty()
+    }
+
     /// The first of these series that was measured: the largest play.
     pub fn first_of(&self, names: &[&str], resource: Resource) -> Needed {
-        let known = names.iter().find(|name| self.slopes.find(name).is_some());
+        let known = names.iter().find(|name| self.is_measured(name));
         match (known, names.first()) {
             (Some(name), _) | (None, Some(name)) => self.largest(name, resource),
             (None, None) => Err(Gap::NotApplicable),
@@ -126,32 +140,18 @@
         }
     }
 
-    /// A series whose name begins so: the largest play of the first one.
-    pub fn beginning(&self, prefix: &str, resource: Resource) -> Needed {
-        match self.slopes.recorded().iter().find(|one| one.series.name.starts_with(prefix)) {
-            Some(one) => self.largest(&one.series.name, resource),
-            None => Err(Gap::NotMeasured(format!("{prefix}*"))),
-        }
-    }
-
     fn series(&self, name: &str, resource: Resource, plays: Plays, rate: f64) -> Needed {
-        let recorded = self.slopes.find(name).ok_or_else(|| Gap::NotMeasured(name.to_owned()))?;
-        let value = self.value_of(recorded, resource, plays, rate)?;
+        let mut found = variants(self.slopes, name).into_iter();
+        let first = found.next().ok_or_else(|| Gap::NotMeasured(name.to_owned()))?;
+        let value = self.value_of(first, resource, plays, rate)?;
         match plays {
             Plays::Mean => Ok(value),
-            Plays::Largest => self.with_loss(name, value, resource, rate),
+            Plays::Largest => found.try_fold(value, |value, recorded| {
+                Ok(value.largest(self.value_of(recorded, resource, plays, rate)?))
+            }),
         }
     }
 
-    /// The largest of a value and of the same series measured with datagrams lost (`NAME.loss...`).
-    fn with_loss(&self, name: &str, value: Value, resource: Resource, rate: f64) -> Needed {
-        let beginning = format!("{name}{LOSS_SUFFIX}");
-        let mut lossy = self.slopes.recorded().iter().filter(|one| one.series.name.starts_with(&beginning));
-        lossy.try_fold(value, |value, recorded| {
-            Ok(value.largest(self.value_of(recorded, resource, Plays::Largest, rate)?))
-        })
-    }
-
     fn value_of(&self, recorded: &Recorded, resource: Resource, plays: Plays, rate: f64) -> Needed {
         let series = &recorded.series;
         let not_understood =
