--- a/lab/src/capacity/rows/control.rs
+++ b/lab/src/capacity/rows/control.rs
@@ -229,18 +229,23 @@
         )
     };
     match context.case {
-        // Single machines fail on an ordinary day.
         Case::OrdinaryDay => {
-            match context.largest("membership.bytes_per_second.peak.kill", Resource::Bytes) {
-                Ok(kill) => Ok(rest()?.largest(kill)),
-                Err(_) => rest(),
-            }
+            let kill = context.largest("membership.bytes_per_second.peak.kill", Resource::Bytes);
+            with_a_loss(rest(), kill)
         }
         Case::Peak => rest(),
         _ => by_case(context, "membership.bytes_per_second.peak.", Resource::Bytes),
     }
 }
 
+/// Single machines fail on an ordinary day: rest, or the loss of one where that was measured and is more.
+fn with_a_loss(rest: Needed, loss: Needed) -> Needed {
+    match loss {
+        Ok(loss) => Ok(rest?.largest(loss)),
+        Err(_) => rest,
+    }
+}
+
 /// Series of membership that were measured in a case of their own.
 fn by_case(context: &Context, prefix: &str, resource: Resource) -> Needed {
     let of = |case: &str| context.largest(&format!("{prefix}{case}"), resource);
@@ -326,11 +331,11 @@
 fn hollow_bytes(context: &Context) -> Needed {
     let peak = |case: &str| context.largest(&format!("hollow.bytes_per_second.peak.{case}"), Resource::Bytes);
     match context.case {
-        Case::OrdinaryDay => {
-            context.first_of(&["hollow.bytes_per_second.rest", "hollow.bytes_per_second"], Resource::Bytes)
-        }
-        Case::Peak => context
-            .first_of(&["hollow.bytes_per_second.peak.rest", "hollow.bytes_per_second"], Resource::Bytes),
+        Case::OrdinaryDay => with_a_loss(peak("rest"), peak("kill")),
+        Case::Peak => context.first_of(
+            &["hollow.bytes_per_second.peak.publish", "hollow.bytes_per_second.peak.rest"],
+            Resource::Bytes,
+        ),
         Case::RestartsAtOnce => peak("restart"),
         Case::RackLost => peak("rack"),
         Case::ZoneLost => peak("zone"),
