--- a/lab/src/capacity/rows/request_path.rs
+++ b/lab/src/capacity/rows/request_path.rs
@@ -174,15 +174,25 @@
             Case::OrdinaryDay | Case::Peak => {
                 context.first_of(&["log.bytes_per_second.calm"], Resource::Bytes)
             }
-            Case::ZoneLost => context.first_of(
-                &["log.bytes_per_second.zone_lost.largest", "log.bytes_per_second.zone_lost"],
-                Resource::Bytes,
-            ),
+            Case::ZoneLost => log_in_a_loss(context),
             _ => Err(Gap::NotApplicable),
         })],
     )
 }
 
+/// A zone's servers are lost and its nodes with them: the largest second of both, where both were measured.
+fn log_in_a_loss(context: &Context) -> Needed {
+    let largest = |what: &str| {
+        let name = format!("log.bytes_per_second.{what}");
+        context.first_of(&[&format!("{name}.largest"), &name], Resource::Bytes)
+    };
+    let servers = largest("zone_lost")?;
+    match largest("peers_lost") {
+        Ok(peers) => Ok(servers.plus(peers)),
+        Err(_) => Ok(servers),
+    }
+}
+
 fn rate(context: &Context) -> f64 {
     demand::requests_per_node(context.plan, context.case)
 }
--- a/lab/src/capacity/tests.rs
+++ b/lab/src/capacity/tests.rs
@@ -241,6 +241,7 @@
         ("requests in flight", Some(87.0)),
         ("connections of clients", Some(87.0)),
         ("bytes of an answer", Some(65_536.0)),
+        ("entries that changed", Some(110.0)),
         ("moons", None),
     ];
     for (against, number) in expected {
--- a/lab/src/capacity/values.rs
+++ b/lab/src/capacity/values.rs
@@ -196,7 +196,7 @@
 }
 
 /// The words in what a series stands against, and the size they mean; the first entry whose words are all there counts.
-const SIZES: [(&str, Size); 18] = [
+const SIZES: [(&str, Size); 19] = [
     ("servers zone", Size::Plan(|plan| plan.servers / plan.zones)),
     ("lost server", Size::Plan(|plan| plan.servers / plan.zones)),
     ("lost", Size::Plan(|plan| plan.nodes / plan.zones)),
@@ -208,6 +208,7 @@
     ("byte", Size::Plan(demand::answer_bytes)),
     ("answer", Size::Plan(demand::answer_bytes)),
     ("server", Size::Plan(|plan| plan.servers)),
+    ("entries changed", Size::Plan(|plan| plan.servers)),
     ("node", Size::Plan(|plan| plan.nodes)),
     ("peer", Size::Plan(|plan| plan.nodes)),
     ("member", Size::Plan(|plan| plan.nodes)),
