--- a/lab/src/capacity/rows/request_path.rs
+++ b/lab/src/capacity/rows/request_path.rs
@@ -53,6 +53,11 @@
             within(Resource::Processor, CORE, demand::request_core_budget, |context| {
                 request_cores(context, rate(context))
             }),
+            within(Resource::Processor, CORE, demand::request_core_budget, |context| {
+                let cost = context.mean("request.processor_seconds_by_answer_bytes", Resource::Seconds)?;
+                Ok(cost.times(rate(context)))
+            })
+            .called("with the largest answers"),
             within(Resource::Memory, MEMORY, demand::node_memory_budget, request_memory),
         ],
     )
@@ -169,12 +174,25 @@
             Case::OrdinaryDay | Case::Peak => {
                 context.first_of(&["log.bytes_per_second.calm"], Resource::Bytes)
             }
-            Case::ZoneLost => context.first_of(&["log.bytes_per_second.zone_lost"], Resource::Bytes),
+            Case::ZoneLost => log_in_a_loss(context),
             _ => Err(Gap::NotApplicable),
         })],
     )
 }
 
+/// A zone's servers are lost and its nodes with them: the largest second of both, where both were measured.
+fn log_in_a_loss(context: &Context) -> Needed {
+    let largest = |what: &str| {
+        let name = format!("log.bytes_per_second.{what}");
+        context.first_of(&[&format!("{name}.largest"), &name], Resource::Bytes)
+    };
+    let servers = largest("zone_lost")?;
+    match largest("peers_lost") {
+        Ok(peers) => Ok(servers.plus(peers)),
+        Err(_) => Ok(servers),
+    }
+}
+
 fn rate(context: &Context) -> f64 {
     demand::requests_per_node(context.plan, context.case)
 }
@@ -185,7 +203,7 @@
 
 /// Seconds of the core for one message at this rate, by the first of the names that was measured.
 fn cost_at(context: &Context, names: &[&str], rate: f64) -> Needed {
-    let known = names.iter().find(|name| context.slopes.find(name).is_some());
+    let known = names.iter().find(|name| context.is_measured(name));
     let name = known.or(names.last()).copied().unwrap_or_default();
     context.at_rate(name, Resource::Seconds, rate)
 }
@@ -196,7 +214,9 @@
 
 fn request_memory(context: &Context) -> Needed {
     let open = demand::in_flight_per_node(context.plan, context.case);
-    let connections = open + demand::connections_to_servers(context.plan, context.case);
+    // A request in flight has its server's connection with it: what is left are its client's and those that rest.
+    let resting = (demand::connections_to_servers(context.plan, context.case) - open).max(0.0);
+    let connections = open + resting;
     let per_request = context.mean("request.memory_per_in_flight", Resource::Memory)?;
     let per_connection = context.mean("request.memory_per_connection", Resource::Memory)?;
     Ok(per_request.times(open).plus(per_connection.times(connections)))
