--- a/lab/src/measure/discovery.rs
+++ b/lab/src/measure/discovery.rs
@@ -1,6 +1,6 @@
 //! What discovery asks of a node and of its agent: a whole list, a change, a watch with nothing new.
 
-use super::series::{Method, Series};
+use super::series::{Collect, Method, Series};
 use super::stage::discovery::{host, Call, Discovery, Kind};
 use super::stage::{block_on, usage, wait_for, Folder, Node};
 use super::{MeasureError, Programs};
--- a/lab/src/measure/trials/mod.rs
+++ b/lab/src/measure/trials/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod node_play;
 
-use super::series::{Method, Series};
+use super::series::{Collect, Method, Series};
 use crate::model::{Micros, SECOND};
 use node_play::{play, Met, Setting, Trouble, BIN};
 use std::sync::atomic::{AtomicUsize, Ordering};
