--- a/lab/src/commands/measure.rs
+++ b/lab/src/commands/measure.rs
@@ -2,7 +2,7 @@
 
 use crate::measure::series::{Collect, Series};
 use crate::measure::{
-    decisions, discovery, log, memory_child, relay, request_path, trials, MeasureError, Programs,
+    decisions, discovery, little_core, log, memory_child, relay, request_path, trials, MeasureError, Programs,
 };
 use crate::slopes::write_series;
 use clap::{Args, Subcommand, ValueEnum};
@@ -19,6 +19,8 @@
     Decisions,
     /// Lists, changes and resting watches, with a real node
     Discovery,
+    /// How long a node with little of a core takes to be ready, and what it serves
+    LittleCore,
     /// What a node logs, in calm and in a loss
     Log,
     /// What requests, connections and refusals cost a real node, beside a bare relay
@@ -100,6 +102,15 @@
             let effort = if args.quick { quick() } else { discovery::Effort::default() };
             discovery::measure(&effort, &programs)
         }
+        What::LittleCore => {
+            let quick = || little_core::Effort {
+                parts: vec![0.2, 0.3, 0.4, 0.5],
+                length: Duration::from_millis(200),
+                ..little_core::Effort::default()
+            };
+            let effort = if args.quick { quick() } else { little_core::Effort::default() };
+            little_core::measure(&effort, &programs)
+        }
         What::Log => {
             let quick = || log::Effort {
                 servers: 12,
--- a/lab/src/measure/mod.rs
+++ b/lab/src/measure/mod.rs
@@ -4,6 +4,7 @@
 pub mod decisions;
 pub mod discovery;
 mod hollow_peers;
+pub mod little_core;
 pub mod log;
 pub mod memory_child;
 pub mod relay;
--- a/lab/src/measure/stage/mod.rs
+++ b/lab/src/measure/stage/mod.rs
@@ -135,6 +135,11 @@
         timeout(PATIENCE, asking).await.map_err(|_| MeasureError::Late("the node's readiness"))
     }
 
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) {
+        self.process.signal(signal);
+    }
+
     /// Tells it to go, and waits until it is gone.
     pub async fn stop(mut self) -> Result<(), MeasureError> {
         self.process.signal(Signal::SIGTERM);
--- a/lab/tests/measure.rs
+++ b/lab/tests/measure.rs
@@ -140,6 +140,16 @@
     assert_positive(named(&all, "log.bytes_per_second.peers_lost"));
 }
 
+#[test]
+fn a_node_with_little_of_a_core_is_measured() {
+    let all = measure("little-core");
+    assert_complete(&all, "real", "little-core", &["little_core.seconds_to_ready", "little_core.served"]);
+    assert_positive(named(&all, "little_core.seconds_to_ready"));
+    // What is left of a core is told as it came to be: more than nothing, and less than all.
+    let parts = points(named(&all, "little_core.served"));
+    assert!(parts.iter().all(|(part, _)| (0.0..1.0).contains(part) && *part > 0.0), "{parts:?}");
+}
+
 /// Runs on a thread of its own sockets.
 fn block_on<T>(work: impl std::future::Future<Output = Result<T, MeasureError>>) -> T {
     stage::block_on(work).unwrap()
