--- a/src/peers/membership/gossip.rs
+++ b/src/peers/membership/gossip.rs
@@ -24,6 +24,8 @@
     pub copies: u8,
     pub fan_out: usize,
     pub backlog: usize,
+    /// Pieces of news on one message at the most.
+    pub news_on_message: usize,
 }
 
 /// Follows how much changes.
@@ -50,10 +52,15 @@
 
     pub fn plan(&self, now: Micros) -> GossipPlan {
         match self.is_burst(now) {
-            true => {
-                GossipPlan { copies: COPIES_IN_BURST, fan_out: FAN_OUT_IN_BURST, backlog: BACKLOG_IN_BURST }
+            true => GossipPlan {
+                copies: COPIES_IN_BURST,
+                fan_out: FAN_OUT_IN_BURST,
+                backlog: BACKLOG_IN_BURST,
+                news_on_message: BACKLOG_IN_BURST,
+            },
+            false => {
+                GossipPlan { copies: COPIES, fan_out: FAN_OUT, backlog: BACKLOG, news_on_message: usize::MAX }
             }
-            false => GossipPlan { copies: COPIES, fan_out: FAN_OUT, backlog: BACKLOG },
         }
     }
 
--- a/src/peers/membership/mod.rs
+++ b/src/peers/membership/mod.rs
@@ -552,7 +552,9 @@
                     };
                     most
                 }
-                TrafficKind::Probe | TrafficKind::Gossip => self.pacing.news_on_message(now),
+                TrafficKind::Probe | TrafficKind::Gossip => {
+                    self.pacing.news_on_message(now).min(self.plan.news_on_message)
+                }
                 _ => usize::MAX,
             };
             payload = inbound::truncate_updates(&payload, most);
