--- a/lab/src/dissemination/tests.rs
+++ b/lab/src/dissemination/tests.rs
@@ -459,3 +459,31 @@
     assert!(cluster.in_force.iter().all(|told| told.whole));
     holds(&cluster);
 }
+
+#[test]
+fn the_planned_load_holds_its_bounds_over_real_membership() {
+    let outcome = super::joint::run(&Load { seconds: 10, state_every_s: 4, ..Load::planned(66, 0.05, 1) });
+    assert_eq!((outcome.faults, outcome.lost, outcome.resets, outcome.false_words), (0, 0, 0, 0));
+    assert!(outcome.log_largest_s <= seconds(BOUND), "{outcome:?}");
+    assert!(outcome.state_largest_s <= seconds(STATE_BOUND), "{outcome:?}");
+    assert!(outcome.peak_1s <= f64::from(BUDGET), "{outcome:?}");
+    assert_eq!(outcome.acknowledged, 63, "{outcome:?}");
+}
+
+#[test]
+fn the_engines_own_broadcasts_reach_all_out_of_order() {
+    let outcome = super::baseline::run(&Load { seconds: 10, ..Load::planned(66, 0.05, 1) });
+    assert_eq!(outcome.never, 0);
+    assert!(outcome.out_of_order > 0);
+}
+
+#[test]
+fn outcomes_are_written_as_series_by_loss() {
+    let loads = [0.0, 0.05].map(|loss| Load { seconds: 1, ..Load::planned(4, loss, 1) });
+    let outcomes = super::figures::run_all(&loads, super::figures::Membership::StandIn, 2, || {});
+    let series = super::figures::series(&outcomes, "a command");
+    let names: Vec<&str> = series.iter().map(|series| series.name.as_str()).collect();
+    assert!(names.contains(&"dissemination.bytes_per_second.peak"));
+    assert!(names.contains(&"dissemination.seconds_to_all.log.loss_5"));
+    assert!(series.iter().all(|series| series.points.len() == 1 && series.points[0].size == 4.0));
+}
