--- a/src/peers/dissemination/asking.rs
+++ b/src/peers/dissemination/asking.rs
@@ -44,8 +44,8 @@
 pub struct Asking {
     ask_at: Micros,
     turn: usize,
-    /// Since when entries are missing, as it was when it last asked for them.
-    gap_since: Option<Micros>,
+    /// When an entry last came in order, and since when some are missing, as it was when it last asked.
+    progress: (Micros, Option<Micros>),
     /// Who last brought what the parent did not.
     source: Option<SocketAddr>,
     parent_at: Micros,
@@ -59,7 +59,7 @@
         Self {
             ask_at: now,
             turn: 0,
-            gap_since: None,
+            progress: (now, None),
             source: None,
             parent_at: now,
             states_at: now,
@@ -172,9 +172,9 @@
         if now < asking.ask_at || now < since + wait {
             return;
         }
-        if log.behind_since.is_some() && asking.gap_since != log.behind_since {
+        if asking.progress != (log.progressed_at, log.behind_since) {
             // The parent is the likeliest to have what is missing, and where it lacks it too it passes it on.
-            (asking.gap_since, asking.turn) = (log.behind_since, 0);
+            (asking.progress, asking.turn) = ((log.progressed_at, log.behind_since), 0);
         }
         let urgent = asking.parent_silent();
         let source = asking.source.filter(|_| urgent && asking.turn % 2 == 1);
