--- a/lab/src/dissemination/tests.rs
+++ b/lab/src/dissemination/tests.rs
@@ -175,13 +175,12 @@
     assert!(slowest(&cluster, 0) <= BOUND, "{}", slowest(&cluster, 0));
 }
 
-#[test]
-fn a_node_that_lacks_an_entry_is_named_and_nobody_else() {
-    let mut cluster = cluster(6, Way::default());
+/// What the publisher is told of an entry when one node's datagrams come a minute late, which is seen as present.
+fn named_when_cut_off(seed: u64, rank: usize) {
+    let mut cluster = cluster(seed, Way::default());
     let mut flow = Flow::new(&mut cluster, PUBLISHER);
     flow.run(&mut cluster, 1);
-    // It is seen as present, and nothing that it sends or gets comes in time.
-    let cut_off = cluster.relays(PUBLISHER)[NODES - 2];
+    let cut_off = cluster.relays(PUBLISHER)[rank];
     cluster.slow(cut_off, 60 * SECOND);
     cluster.run(SECOND);
     flow.publish(&mut cluster);
@@ -203,6 +202,16 @@
     assert_eq!(cluster.false_words, []);
 }
 
+#[test]
+fn a_node_that_lacks_an_entry_is_named_and_nobody_else() {
+    named_when_cut_off(6, NODES - 2);
+}
+
+#[test]
+fn a_relay_that_lacks_an_entry_is_named_and_nobody_below_it() {
+    named_when_cut_off(16, 0);
+}
+
 #[test]
 fn after_a_zone_is_lost_the_bounds_hold_again_within_five_seconds() {
     let mut cluster = cluster(7, Way::default());
@@ -459,3 +468,31 @@
     assert!(cluster.in_force.iter().all(|told| told.whole));
     holds(&cluster);
 }
+
+#[test]
+fn the_planned_load_holds_its_bounds_over_real_membership() {
+    let outcome = super::joint::run(&Load { seconds: 10, state_every_s: 4, ..Load::planned(66, 0.05, 1) });
+    assert_eq!((outcome.faults, outcome.lost, outcome.resets, outcome.false_words), (0, 0, 0, 0));
+    assert!(outcome.log_largest_s <= seconds(BOUND), "{outcome:?}");
+    assert!(outcome.state_largest_s <= seconds(STATE_BOUND), "{outcome:?}");
+    assert!(outcome.peak_1s <= f64::from(BUDGET), "{outcome:?}");
+    assert_eq!(outcome.acknowledged, 63, "{outcome:?}");
+}
+
+#[test]
+fn the_engines_own_broadcasts_reach_all_out_of_order() {
+    let outcome = super::baseline::run(&Load { seconds: 10, ..Load::planned(66, 0.05, 1) });
+    assert_eq!(outcome.never, 0);
+    assert!(outcome.out_of_order > 0);
+}
+
+#[test]
+fn outcomes_are_written_as_series_by_loss() {
+    let loads = [0.0, 0.05].map(|loss| Load { seconds: 1, ..Load::planned(4, loss, 1) });
+    let outcomes = super::figures::run_all(&loads, super::figures::Membership::StandIn, 2, || {});
+    let series = super::figures::series(&outcomes, "a command");
+    let names: Vec<&str> = series.iter().map(|series| series.name.as_str()).collect();
+    assert!(names.contains(&"dissemination.bytes_per_second.peak"));
+    assert!(names.contains(&"dissemination.seconds_to_all.log.loss_5"));
+    assert!(series.iter().all(|series| series.points.len() == 1 && series.points[0].size == 4.0));
+}
