--- a/src/peers/dissemination/asking.rs
+++ b/src/peers/dissemination/asking.rs
@@ -2,7 +2,7 @@
 
 use super::super::{Micros, TrafficClass};
 use super::acknowledgement::LineKey;
-use super::message::{Line, LogPosition, Message, Report, StatePosition};
+use super::message::{encode, Line, LogPosition, Message, Report, StatePosition};
 use super::overlay::Member;
 use super::{Dissemination, DisseminationOutput};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -44,8 +44,8 @@
 pub struct Asking {
     ask_at: Micros,
     turn: usize,
-    /// Since when entries are missing, as it was when it last asked for them.
-    gap_since: Option<Micros>,
+    /// When an entry last came in order, and since when some are missing, as it was when it last asked.
+    progress: (Micros, Option<Micros>),
     /// Who last brought what the parent did not.
     source: Option<SocketAddr>,
     parent_at: Micros,
@@ -59,7 +59,7 @@
         Self {
             ask_at: now,
             turn: 0,
-            gap_since: None,
+            progress: (now, None),
             source: None,
             parent_at: now,
             states_at: now,
@@ -172,9 +172,9 @@
         if now < asking.ask_at || now < since + wait {
             return;
         }
-        if log.behind_since.is_some() && asking.gap_since != log.behind_since {
+        if asking.progress != (log.progressed_at, log.behind_since) {
             // The parent is the likeliest to have what is missing, and where it lacks it too it passes it on.
-            (asking.gap_since, asking.turn) = (log.behind_since, 0);
+            (asking.progress, asking.turn) = ((log.progressed_at, log.behind_since), 0);
         }
         let urgent = asking.parent_silent();
         let source = asking.source.filter(|_| urgent && asking.turn % 2 == 1);
@@ -264,8 +264,17 @@
         let logs =
             self.logs.iter().filter(|(_, log)| log.based).map(|(&key, log)| log.position(key)).collect();
         let states = self.states.positions();
-        let all = Message::Positions { logs, states, complete: true, hops: target.hops, joining };
-        self.outbox.small(TrafficClass::Log, target.member.address, all);
+        let (to, hops) = (target.member.address, target.hops);
+        let all = Message::Positions { logs, states, complete: true, hops, joining };
+        if encode(self.cluster, &all).len() <= self.config.largest_datagram {
+            self.outbox.small(TrafficClass::Log, to, all);
+            return;
+        }
+        // Many states, and logs with many holes: in two parts, neither of which is all.
+        let Message::Positions { logs, states, .. } = all else { return };
+        let part = |logs, states| Message::Positions { logs, states, complete: false, hops, joining };
+        self.outbox.small(TrafficClass::Log, to, part(logs, Vec::new()));
+        self.outbox.small(TrafficClass::Log, to, part(Vec::new(), states));
     }
 
     /// Answers with what the other one lacks, and notes what it has.
