Checks on what a trouble costs compare with another arm on the same seed

An absolute bound on what differs by seed says little.

A check may name `relative_to`, an arm: its bounds are multiples of the same figure there on the same seed. Where it is missing, void or ended early, or where both figures are 0, the check falls short. Bad references are told with place, found and expected.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -386,7 +386,8 @@
     pub peers: bool,
 }
 
-/// What has to hold: a figure within a bound, in one arm or in each.
+/// What has to hold: a figure within a bound, in one arm or in each. The bound stands alone or is a multiple of what
+/// another arm came to.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Check {
@@ -397,6 +398,9 @@
     /// In which arm; in each where it is missing.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub arm: Option<String>,
+    /// Bounds are multiples of the same figure in this arm, on the same seed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub relative_to: Option<String>,
     /// Under which driver; under each where it is missing.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub driver: Option<Driver>,
@@ -508,11 +512,19 @@
                 let what = "found no bound, expected at_least or at_most".to_owned();
                 faults.push(Fault { place: place("bound"), what });
             }
-            if check.arm.as_ref().is_some_and(|arm| !self.arms().contains_key(arm)) {
-                let names: Vec<_> = self.arms().into_keys().collect();
-                let found = check.arm.as_deref().unwrap_or_default();
-                let what = format!("found \"{found}\", expected one of {}", names.join(", "));
-                faults.push(Fault { place: place("arm"), what });
+            for (name, arm) in [("arm", &check.arm), ("relative_to", &check.relative_to)] {
+                if let Some(found) = arm.as_ref().filter(|arm| !self.arms().contains_key(*arm)) {
+                    let names: Vec<_> = self.arms().into_keys().collect();
+                    let what = format!("found \"{found}\", expected one of {}", names.join(", "));
+                    faults.push(Fault { place: place(name), what });
+                }
+            }
+            if let Some(other) = &check.relative_to {
+                if check.arm.as_ref().is_none_or(|arm| arm == other) {
+                    let found = check.arm.as_ref().map_or("no arm".to_owned(), |arm| format!("\"{arm}\""));
+                    let what = format!("found {found}, expected an arm other than that of relative_to");
+                    faults.push(Fault { place: place("arm"), what });
+                }
             }
         }
         faults
--- a/lab/src/experiment/tests.rs
+++ b/lab/src/experiment/tests.rs
@@ -30,3 +30,17 @@
     assert_eq!(read.arms().keys().collect::<Vec<_>>(), ["walkpick"]);
     assert_eq!(read.deployment.servers, 12);
 }
+
+#[test]
+fn a_check_that_compares_names_two_arms_that_are_there() {
+    let check = |lines: &str| {
+        format!("{SMALL}[arm.walkpick]\n[arm.calm]\n[[check]]\nname = \"c\"\nfigure = \"served\"\nat_least = 1\n{lines}")
+    };
+    assert!(Experiment::parse(&check("arm = \"walkpick\"\nrelative_to = \"calm\"\n")).is_ok());
+    let unknown = said(&check("arm = \"walkpick\"\nrelative_to = \"clam\"\n"));
+    assert_eq!(unknown, ["check 1: relative_to: found \"clam\", expected one of calm, walkpick"]);
+    let itself = said(&check("arm = \"calm\"\nrelative_to = \"calm\"\n"));
+    assert_eq!(itself, ["check 1: arm: found \"calm\", expected an arm other than that of relative_to"]);
+    let each = said(&check("relative_to = \"calm\"\n"));
+    assert_eq!(each, ["check 1: arm: found no arm, expected an arm other than that of relative_to"]);
+}
--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -1,5 +1,7 @@
 //! Judges: the rules, checked from the lab's own record, and the figures of a run.
 
+pub mod relative;
+
 use crate::experiment::{Check, Driver, Experiment};
 use crate::model::clients::{Ask, End, Kind};
 use crate::model::{micros, Micros, SECOND};
@@ -438,7 +440,7 @@
     }
 }
 
-/// Holds the figures of an arm against an experiment's checks.
+/// Holds the figures of an arm against an experiment's checks, but for those that need another arm's: see [`relative`].
 pub fn check(
     experiment: &Experiment,
     arm: &str,
@@ -446,21 +448,33 @@
     figures: &BTreeMap<&'static str, f64>,
 ) -> Vec<Checked> {
     let of_arm = |check: &&Check| {
-        check.arm.as_ref().is_none_or(|name| name == arm) && check.driver.is_none_or(|named| named == driver)
+        check.relative_to.is_none()
+            && check.arm.as_ref().is_none_or(|name| name == arm)
+            && check.driver.is_none_or(|named| named == driver)
     };
     let checked = experiment.check.iter().filter(of_arm).map(|check| {
         let value = figures.get(check.figure.as_str()).copied().unwrap_or(f64::NAN);
-        let bounds = [(check.at_least, "at least"), (check.at_most, "at most")];
-        let bound = bounds.iter().filter_map(|(bound, word)| bound.map(|bound| format!("{word} {bound}")));
-        let holds = check.at_least.is_none_or(|least| value >= least)
-            && check.at_most.is_none_or(|most| value <= most);
         Checked {
             name: check.name.clone(),
             figure: check.figure.clone(),
             value,
-            bound: bound.collect::<Vec<_>>().join(", "),
-            holds,
+            bound: bounds(check)
+                .map(|(word, bound)| format!("{word} {bound}"))
+                .collect::<Vec<_>>()
+                .join(", "),
+            holds: within(check, value),
         }
     });
     checked.collect()
 }
+
+/// The bounds that a check has, with the words for them.
+fn bounds(check: &Check) -> impl Iterator<Item = (&'static str, f64)> {
+    let bounds = [("at least", check.at_least), ("at most", check.at_most)];
+    bounds.into_iter().filter_map(|(word, bound)| bound.map(|bound| (word, bound)))
+}
+
+/// Whether a value lies within a check's bounds. What is no number lies within none.
+fn within(check: &Check, value: f64) -> bool {
+    check.at_least.is_none_or(|least| value >= least) && check.at_most.is_none_or(|most| value <= most)
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -98,7 +98,7 @@
     /// How many seeds, from that one on
     #[arg(long, default_value_t = 1)]
     seeds: u64,
-    /// One arm alone
+    /// One arm alone, with those that its checks compare it with
     #[arg(long)]
     arm: Option<String>,
     /// Write the experiment and all results here as JSON
@@ -303,7 +303,11 @@
     });
     match failed.into_inner().unwrap_or_default() {
         Some(error) => Err(error.into()),
-        None => Ok(done.into_inner().unwrap_or_default().into_values().collect()),
+        None => {
+            let mut runs: Vec<_> = done.into_inner().unwrap_or_default().into_values().collect();
+            judge::relative::judge(experiment, &mut runs);
+            Ok(runs)
+        }
     }
 }
 
@@ -352,7 +356,7 @@
 fn run(args: &RunArgs) -> Done {
     let experiment = Experiment::load(&args.file)?;
     let arms = match &args.arm {
-        Some(arm) => vec![known_arm(&experiment, arm)?],
+        Some(arm) => judge::relative::with_compared(&experiment, &[known_arm(&experiment, arm)?]),
         None => experiment.arms().into_keys().collect(),
     };
     let results = play(&experiment, &arms, args.seed..args.seed + args.seeds, args.jobs, &args.how)?;
