Peers: one that others take for gone is asked before that is believed

The word that a peer is lost is now told to that peer with a probe: it answers under a later identity if it lives. The word is believed when it comes again 1.5 s later; a farewell at once.

--- a/src/peers/membership/mod.rs
+++ b/src/peers/membership/mod.rs
@@ -46,7 +46,7 @@
 use members::{Member, MemberTable, Word};
 use pacing::{Pace, Pacing};
 use repair::{LocalView, Repair, RepairMessage, RepairOutcome};
-use suspicion::OwnSuspicions;
+use suspicion::{GoneReport, GoneReports, OwnSuspicions};
 use timers::{TimerEvent, TimerQueue};
 
 /// Peers that are held at the most; datagrams of others are dropped.
@@ -59,6 +59,8 @@
 /// comparison brings much, and others at the same time would bring the same.
 const COMPARE_WIDTH: usize = 8;
 const COMPARE_WIDTH_IN_BURST: usize = 2;
+/// Of the peers that one message says to be gone, so many are asked.
+const GONE_ASKED_AT_ONCE: usize = 3;
 
 /// One process's part in the membership.
 pub(super) struct Membership {
@@ -74,6 +76,7 @@
     /// The engine may suspect others than the table says.
     suspicions_changed: bool,
     own_suspicions: OwnSuspicions,
+    gone_reports: GoneReports,
     /// Of this process, as the engine last told it.
     incarnation: foca::Incarnation,
     joining: Joining,
@@ -111,6 +114,7 @@
             members,
             suspicions_changed: false,
             own_suspicions: OwnSuspicions::default(),
+            gone_reports: GoneReports::default(),
             incarnation: 0,
             joining: Joining::new(config.seeds.clone()),
             agreement: AgreementTracker::new(now, memory),
@@ -300,12 +304,20 @@
             self.send_repair(now, from, Pace::Listing, messages, out);
         }
         let mut updates = Vec::new();
+        let mut asked = Vec::new();
         for (peer, left) in outcome.gone {
             if left {
                 self.farewells.remember(Farewell { address: peer.address, order: peer.order });
             }
-            updates.push(MemberUpdate::down(peer));
+            let own = peer.address == self.me().address;
+            match self.gone_reports.report(now, &peer) {
+                _ if left || own => updates.push(MemberUpdate::down(peer)),
+                GoneReport::Believe => updates.push(MemberUpdate::down(peer)),
+                GoneReport::Ask => asked.push(peer),
+                GoneReport::Wait => {}
+            }
         }
+        self.ask_whether_gone(now, asked, out);
         let peers: Vec<_> = outcome.alive.iter().map(|record| record.peer.clone()).collect();
         let alive = |record: repair::Record| MemberUpdate::new(record.peer, record.incarnation, State::Alive);
         updates.extend(outcome.alive.into_iter().map(alive));
@@ -661,6 +673,7 @@
         self.tell_suspects(now, out);
         self.agreement.expire(now);
         self.repair.expire(now);
+        self.gone_reports.expire(now);
         self.judge(now, out);
         self.compare_views(now, out);
     }
@@ -707,6 +720,20 @@
         }
     }
 
+    /// Asks some of those that others take for gone; other nodes ask others.
+    fn ask_whether_gone(&mut self, now: Micros, peers: Vec<Peer>, out: &mut Vec<Output>) {
+        let me = self.engine.identity();
+        let notices = peers.iter().take(GONE_ASKED_AT_ONCE);
+        let notices = notices.filter_map(|peer| suspicion::gone_notice(me, self.incarnation, peer));
+        let messages = notices.map(|notice| EngineMessage {
+            to: notice.to,
+            kind: TrafficKind::Probe,
+            payload: notice.payload,
+        });
+        let messages = messages.collect();
+        self.send(now, messages, out);
+    }
+
     /// Tells those whom this node suspects, so that they can clear themselves.
     fn tell_suspects(&mut self, now: Micros, out: &mut Vec<Output>) {
         let members = &self.members;
--- a/src/peers/membership/suspicion.rs
+++ b/src/peers/membership/suspicion.rs
@@ -14,6 +14,11 @@
 /// So many at once: where many are suspected, most of them are gone or cut off.
 const TOLD_AT_ONCE: usize = 2;
 
+/// One that is said to be gone answers within this time if it lives.
+const ANSWER_WITHIN: Micros = 1_500_000;
+/// What was said longer ago is forgotten: the peer is asked again.
+const FORGET_AFTER: Micros = 10_000_000;
+
 struct Suspicion {
     peer: Peer,
     incarnation: Incarnation,
@@ -26,6 +31,44 @@
     by_address: BTreeMap<SocketAddr, Suspicion>,
 }
 
+/// Peers that others take for gone, and this node does not: they are asked before it is believed.
+#[derive(Default)]
+pub(super) struct GoneReports {
+    since: BTreeMap<SocketAddr, (Peer, Micros)>,
+}
+
+/// What to do with the word that a peer is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum GoneReport {
+    /// It is news: the peer is to be asked.
+    Ask,
+    /// The peer was asked not long ago.
+    Wait,
+    /// The peer has had its time.
+    Believe,
+}
+
+impl GoneReports {
+    /// One told that this life of a peer is gone.
+    pub fn report(&mut self, now: Micros, peer: &Peer) -> GoneReport {
+        match self.since.get(&peer.address) {
+            Some((asked, since)) if asked == peer && now >= since + FORGET_AFTER => {}
+            Some((asked, since)) if asked == peer && now >= since + ANSWER_WITHIN => {
+                return GoneReport::Believe
+            }
+            Some((asked, _)) if asked == peer => return GoneReport::Wait,
+            _ => {}
+        }
+        self.since.insert(peer.address, (peer.clone(), now));
+        GoneReport::Ask
+    }
+
+    /// Forgets what is long ago.
+    pub fn expire(&mut self, now: Micros) {
+        self.since.retain(|_, (_, since)| now < *since + FORGET_AFTER);
+    }
+}
+
 /// A message that tells a suspect of it.
 pub(super) struct SuspicionNotice {
     pub to: SocketAddr,
@@ -63,11 +106,21 @@
 }
 
 /// A probe that carries the suspicion: its answer carries the suspect's new incarnation, which clears it.
-fn notice(me: &Peer, src_incarnation: Incarnation, suspicion: &Suspicion) -> Option<Vec<u8>> {
-    let (src, dst) = (me.clone(), suspicion.peer.clone());
+fn notice(me: &Peer, incarnation: Incarnation, suspicion: &Suspicion) -> Option<Vec<u8>> {
+    let update = Member::new(suspicion.peer.clone(), suspicion.incarnation, State::Suspect);
+    probe_with(me, incarnation, update)
+}
+
+/// A probe that tells a peer that others take it for gone: where it lives, its answer carries a later identity.
+pub(super) fn gone_notice(me: &Peer, incarnation: Incarnation, peer: &Peer) -> Option<SuspicionNotice> {
+    let payload = probe_with(me, incarnation, Member::down(peer.clone()))?;
+    Some(SuspicionNotice { to: peer.address, payload })
+}
+
+fn probe_with(me: &Peer, src_incarnation: Incarnation, update: Member<Peer>) -> Option<Vec<u8>> {
+    let (src, dst) = (me.clone(), update.id().clone());
     // The answer to it is not the answer to the engine's own probe; it need not be, as the sender's word clears it.
     let header = Header { src, src_incarnation, dst, message: Message::Ping(0) };
-    let update = Member::new(suspicion.peer.clone(), suspicion.incarnation, State::Suspect);
     let header = postcard::to_stdvec(&header).ok()?;
     let update = postcard::to_stdvec(&update).ok()?;
     Some([&header[..], &1u16.to_be_bytes(), &update].concat())
--- a/src/peers/membership/suspicion/tests.rs
+++ b/src/peers/membership/suspicion/tests.rs
@@ -32,3 +32,23 @@
     suspicions.retain(|suspect| *suspect != peer(3));
     assert_eq!(told(&mut suspicions, TELL_EVERY + 1), [peer(4).address]);
 }
+
+#[test]
+fn one_that_is_said_to_be_gone_is_asked_and_has_time_to_answer() {
+    let mut reports = GoneReports::default();
+    assert_eq!(reports.report(0, &peer(2)), GoneReport::Ask);
+    assert_eq!(reports.report(ANSWER_WITHIN - 1, &peer(2)), GoneReport::Wait);
+    assert_eq!(reports.report(ANSWER_WITHIN, &peer(2)), GoneReport::Believe);
+    let later = Peer { order: 2, ..peer(2) };
+    assert_eq!(reports.report(ANSWER_WITHIN, &later), GoneReport::Ask, "a later life is another one");
+    assert_eq!(reports.report(ANSWER_WITHIN + FORGET_AFTER, &later), GoneReport::Ask);
+    reports.expire(3 * FORGET_AFTER);
+    assert!(reports.since.is_empty());
+}
+
+#[test]
+fn the_word_that_it_is_taken_for_gone_reaches_a_peer_with_a_probe() {
+    let notice = gone_notice(&peer(1), 3, &peer(2)).unwrap();
+    let message = InboundMessage::decode(&notice.payload).unwrap();
+    assert_eq!((notice.to, message.updates), (peer(2).address, vec![Member::down(peer(2))]));
+}
