--- /dev/null
+++ b/src/peers/membership/applying.rs
@@ -0,0 +1,109 @@
+//! What the engine asks for and tells is carried out: timers, changes of members, messages.
+
+use foca::Timer;
+
+use super::engine::{EngineEffects, MemberChange};
+use super::timers::TimerEvent;
+use super::{digest, names, Membership, Standing};
+use crate::peers::identity::Peer;
+use crate::peers::{Micros, Output};
+
+impl Membership {
+    /// Carries out what the engine asked for.
+    pub(super) fn apply(&mut self, now: Micros, effects: EngineEffects, out: &mut Vec<Output>) {
+        let changed = effects.changes_members();
+        self.incarnation = effects.incarnation.unwrap_or(self.incarnation);
+        for (after, timer) in effects.timers {
+            if let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = &timer {
+                self.suspicions_changed = true;
+                self.own_suspicions.add(member_id.clone(), *incarnation);
+            }
+            self.timers.add(now + after.as_micros() as Micros, TimerEvent::Engine(timer));
+        }
+        if effects.rejoined {
+            let before = std::mem::replace(&mut self.me, self.engine.identity().clone());
+            self.members.set_own(Some(&before), &self.me);
+            out.push(Output::CameBack);
+        }
+        self.changes.add(now, effects.changes.len());
+        let mut arrived = Vec::new();
+        for change in effects.changes {
+            match change {
+                MemberChange::Replaced(peer) => {
+                    self.members.replace(&peer);
+                    self.replaced.push(peer.clone());
+                    arrived.push(peer);
+                }
+                MemberChange::Down(peer) => {
+                    let standing = match self.farewells.has(&peer) {
+                        true => Standing::Left,
+                        false => Standing::Lost,
+                    };
+                    self.set_standing(now, peer, standing, out);
+                }
+                MemberChange::Up(peer) => {
+                    self.set_standing(now, peer.clone(), Standing::Present, out);
+                    arrived.push(peer);
+                }
+            }
+        }
+        if changed {
+            self.update_view(now);
+            self.adapt_engine();
+            self.resolve_name_conflict(now, &arrived, out);
+        }
+        self.send(now, effects.messages, out);
+        if changed {
+            self.suspicions_changed = true;
+            self.judge(now, out);
+        }
+    }
+
+    /// The engine's times follow the number of peers, and of those in doubt.
+    pub(super) fn adapt_engine(&mut self) {
+        let suspects = self.members.counts().suspected;
+        let settings = self.config.engine(self.engine.num_members() + 1, suspects, self.plan);
+        // What differs are times and numbers that may change at any moment.
+        let _ = self.engine.set_config(settings);
+    }
+
+    pub(super) fn set_standing(
+        &mut self,
+        now: Micros,
+        peer: Peer,
+        standing: Standing,
+        out: &mut Vec<Output>,
+    ) {
+        if standing.is_gone() {
+            self.agreement.forget(&peer.address);
+        }
+        if self.members.set(now, &peer, standing) {
+            out.push(Output::Standing { peer, standing });
+        }
+    }
+
+    pub(super) fn resolve_name_conflict(&mut self, now: Micros, arrived: &[Peer], out: &mut Vec<Output>) {
+        if self.left {
+            return;
+        }
+        let Some(conflict) = names::find_conflict(&self.me, arrived.iter()) else { return };
+        let yields = conflict.yields;
+        out.push(Output::NameClaimed { by: conflict.by, yields });
+        if yields {
+            self.leave(now, out);
+        }
+    }
+
+    pub(super) fn update_view(&mut self, now: Micros) {
+        let digest = self.members.digest().whole();
+        debug_assert_eq!(digest, self.summed_digest(), "the digest is kept up with each change");
+        self.agreement.set_view(now, digest, self.nodes());
+    }
+
+    /// The digest of what the engine holds, summed anew.
+    pub(super) fn summed_digest(&self) -> u64 {
+        let nodes = self.engine.iter_members().map(foca::Member::id).chain([self.engine.identity()]);
+        let counted = nodes.filter(|peer| !peer.observer);
+        counted.fold(0, |sum, peer| sum.wrapping_add(digest::life_hash(peer)))
+    }
+}
--- /dev/null
+++ b/src/peers/membership/repairing.rs
@@ -0,0 +1,141 @@
+//! Views that differ are compared, and what is missing is told: the repair at work on the members.
+
+use foca::State;
+use std::net::SocketAddr;
+
+use super::engine::EngineEffects;
+use super::farewells::Farewell;
+use super::inbound::MemberUpdate;
+use super::pacing::Pace;
+use super::repair::{LocalView, Record, RepairMessage, RepairOutcome};
+use super::suspicion::GoneReport;
+use super::traffic::TrafficKind;
+use super::{Membership, Standing};
+use crate::peers::envelope::{Extension, EXTENSIONS_SINCE};
+use crate::peers::{Micros, Output};
+
+/// Peers whose view differed when they were last heard are asked to compare; so many at once. While much changes, each
+/// comparison brings much, and others at the same time would bring the same.
+const COMPARE_WIDTH: usize = 8;
+const COMPARE_WIDTH_IN_BURST: usize = 2;
+
+impl Membership {
+    pub(super) fn receive_repair(
+        &mut self,
+        now: Micros,
+        from: SocketAddr,
+        message: RepairMessage,
+        out: &mut Vec<Output>,
+    ) {
+        if message == RepairMessage::Compare {
+            return self.answer_comparison(now, from, out);
+        }
+        let view = LocalView { me: self.engine.identity(), members: &self.members, nodes: self.nodes() };
+        let outcome = self.repair.receive(now, view, message);
+        self.carry_out_repair(now, from, outcome, out);
+    }
+
+    /// Tells the present digest, and those of parts where the peer's view differed when it asked.
+    pub(super) fn answer_comparison(&mut self, now: Micros, to: SocketAddr, out: &mut Vec<Output>) {
+        let mut messages = Vec::new();
+        let differs = self.agreement.differs(&to);
+        if differs && self.pacing.allows(now, Pace::Comparison) && self.repair.may_answer(now) {
+            let view = LocalView { me: self.engine.identity(), members: &self.members, nodes: self.nodes() };
+            messages.push(self.repair.digests(view));
+        }
+        let pace = if messages.is_empty() { Pace::Spare } else { Pace::Comparison };
+        self.send_repair(now, to, pace, messages, out);
+    }
+
+    pub(super) fn carry_out_repair(
+        &mut self,
+        now: Micros,
+        from: SocketAddr,
+        outcome: RepairOutcome,
+        out: &mut Vec<Output>,
+    ) {
+        for messages in outcome.answers {
+            self.send_repair(now, from, Pace::Answer, messages, out);
+        }
+        for messages in outcome.lists {
+            self.send_repair(now, from, Pace::Listing, messages, out);
+        }
+        let mut updates = Vec::new();
+        let mut asked = Vec::new();
+        for (peer, left) in outcome.gone {
+            if left {
+                self.farewells.remember(Farewell { address: peer.address, order: peer.order });
+            }
+            let own = peer.address == self.me().address;
+            let held = self.members.get(&peer.address);
+            let suspected = held.is_some_and(|held| held.standing == Standing::Suspected);
+            match self.gone_reports.report(now, &peer, suspected) {
+                _ if left || own => updates.push(MemberUpdate::down(peer)),
+                GoneReport::Believe => updates.push(MemberUpdate::down(peer)),
+                GoneReport::Ask => asked.push(peer),
+                GoneReport::Wait => {}
+            }
+        }
+        self.ask_whether_gone(now, asked, out);
+        let peers: Vec<_> = outcome.alive.iter().map(|record| record.peer.clone()).collect();
+        let alive = |record: Record| MemberUpdate::new(record.peer, record.incarnation, State::Alive);
+        updates.extend(outcome.alive.into_iter().map(alive));
+        if updates.is_empty() {
+            return;
+        }
+        // Others pull it as well: it is not passed on.
+        self.apply_updates(now, updates, false, out);
+        for peer in peers {
+            let taken =
+                self.members.get(&peer.address).is_some_and(|held| held.is_counted() && held.peer == peer);
+            if !taken {
+                self.repair.refused(now, &peer);
+            }
+        }
+    }
+
+    /// Sends messages of the repair, where the budget has room for them.
+    pub(super) fn send_repair(
+        &mut self,
+        now: Micros,
+        to: SocketAddr,
+        pace: Pace,
+        messages: Vec<RepairMessage>,
+        out: &mut Vec<Output>,
+    ) {
+        let extensions = messages.into_iter().map(Extension::Repair).collect();
+        let Some(data) = self.extensions_datagram(&to, extensions) else { return };
+        if self.pacing.try_take(now, pace, data.len()) {
+            self.traffic.add(TrafficKind::Repair, data.len());
+            out.push(Output::Send { to, data });
+        }
+    }
+
+    /// Asks some of those whose view differed to compare: the answer tells a present digest, and where views differ.
+    pub(super) fn compare_views(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let mut among = self.agreement.to_be_compared(now);
+        among.sort_unstable();
+        self.random.shuffle(&mut among);
+        let width = if self.changes.is_burst(now) { COMPARE_WIDTH_IN_BURST } else { COMPARE_WIDTH };
+        for address in among.into_iter().take(width) {
+            self.agreement.asked(now, &address);
+            match self.members.get(&address).map(|held| held.schema) {
+                Some(schema) if schema >= EXTENSIONS_SINCE => {
+                    self.send_repair(now, address, Pace::Comparison, vec![RepairMessage::Compare], out);
+                }
+                Some(1) => self.ask_for_list(now, address, out),
+                // One that was not heard yet will be.
+                _ => {}
+            }
+        }
+    }
+
+    /// A peer of the first schema is asked for a list of members.
+    pub(super) fn ask_for_list(&mut self, now: Micros, address: SocketAddr, out: &mut Vec<Output>) {
+        let Some(held) = self.members.get(&address) else { return };
+        let mut effects = EngineEffects::default();
+        // Errors would be of its size alone.
+        let _ = self.engine.announce(held.peer.clone(), &mut effects);
+        self.send(now, effects.messages, out);
+    }
+}
--- /dev/null
+++ b/src/peers/membership/reviewing.rs
@@ -0,0 +1,121 @@
+//! The regular review: suspicions, farewells, agreement, and what may be relied on.
+
+use foca::State;
+
+use super::agreement::MemberCounts;
+use super::engine::EngineMessage;
+use super::members::Member;
+use super::traffic::TrafficKind;
+use super::{suspicion, Membership, Standing};
+use crate::peers::identity::Peer;
+use crate::peers::{Micros, Output};
+
+/// Of the peers that one message says to be gone, so many are asked.
+const GONE_ASKED_AT_ONCE: usize = 3;
+
+impl Membership {
+    /// Looks at how far views lie apart, repairs, and judges what may be relied on.
+    pub(super) fn review(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if self.left {
+            return;
+        }
+        self.follow_change_rate(now);
+        self.follow_suspicions(now, out);
+        self.follow_farewells(now, out);
+        self.tell_suspects(now, out);
+        self.agreement.expire(now);
+        self.repair.expire(now);
+        self.gone_reports.expire(now);
+        self.judge(now, out);
+        self.compare_views(now, out);
+    }
+
+    /// Says how far views lie apart, and what may be relied on.
+    pub(super) fn judge(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if self.left {
+            return;
+        }
+        let counts = self.members.counts();
+        let members = MemberCounts { nodes: self.nodes(), suspected: counts.suspected, lost: counts.lost };
+        out.extend(self.agreement.review(now, &members).map(Output::Agreement));
+        // Fewer may be believed once those that are left agree, whatever became of the others: the count's own rule keeps
+        // what follows from it in bounds.
+        if self.count.sees(now, members.nodes, self.agreement.is_agreed()) {
+            out.push(Output::Count(self.count.in_force()));
+        }
+    }
+
+    /// Takes over whom the engine suspects, and whom it cleared.
+    pub(super) fn follow_suspicions(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if !std::mem::take(&mut self.suspicions_changed) {
+            return;
+        }
+        let mut changed = Vec::new();
+        for member in self.engine.iter_members() {
+            let standing = self.members.get(&member.id().address).map(|held| held.standing);
+            match (member.state(), standing) {
+                (State::Suspect, Some(Standing::Present)) => {
+                    changed.push((member.id().clone(), Standing::Suspected));
+                }
+                (State::Alive, Some(Standing::Suspected)) => {
+                    changed.push((member.id().clone(), Standing::Present));
+                }
+                _ => {}
+            }
+        }
+        let any = !changed.is_empty();
+        for (peer, standing) in changed {
+            self.set_standing(now, peer, standing, out);
+        }
+        if any {
+            self.adapt_engine();
+        }
+    }
+
+    /// Asks some of those that others take for gone. Other nodes ask others, and hear of their answers by gossip.
+    pub(super) fn ask_whether_gone(&mut self, now: Micros, mut peers: Vec<Peer>, out: &mut Vec<Output>) {
+        self.random.shuffle(&mut peers);
+        peers.truncate(GONE_ASKED_AT_ONCE);
+        peers.iter().for_each(|peer| self.gone_reports.asked(now, peer));
+        let me = self.engine.identity();
+        let notices = peers.iter();
+        let notices = notices.filter_map(|peer| suspicion::gone_notice(me, self.incarnation, peer));
+        let messages = notices.map(|notice| EngineMessage {
+            to: notice.to,
+            kind: TrafficKind::Probe,
+            payload: notice.payload,
+        });
+        let messages = messages.collect();
+        self.send(now, messages, out);
+    }
+
+    /// Tells those whom this node suspects, so that they can clear themselves.
+    pub(super) fn tell_suspects(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let members = &self.members;
+        self.own_suspicions.retain(|peer| {
+            let held = members.get(&peer.address).filter(|held| held.peer == *peer);
+            held.is_some_and(|held| held.standing == Standing::Suspected)
+        });
+        let notices = self.own_suspicions.notices(now, self.engine.identity(), self.incarnation);
+        let messages = notices.into_iter().map(|notice| EngineMessage {
+            to: notice.to,
+            kind: TrafficKind::Probe,
+            payload: notice.payload,
+        });
+        self.send(now, messages.collect(), out);
+    }
+
+    /// A farewell may come after the word that its peer is gone.
+    pub(super) fn follow_farewells(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let received = self.farewells.received();
+        if received == std::mem::replace(&mut self.farewells_seen, received) {
+            return;
+        }
+        let said_farewell =
+            |held: &&Member| held.standing == Standing::Lost && self.farewells.has(&held.peer);
+        let left: Vec<_> = self.members.iter().filter(said_farewell).map(|held| held.peer.clone()).collect();
+        for peer in left {
+            self.set_standing(now, peer, Standing::Left, out);
+        }
+    }
+}
--- a/src/peers/membership/tests.rs
+++ b/src/peers/membership/tests.rs
@@ -1,4 +1,7 @@
+use super::admission::DropReason;
+use super::inbound::InboundMessage;
 use super::*;
+use crate::peers::envelope::{encode_extensions, Envelope, Extension, SCHEMA};
 
 fn address(host: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, host], 7_946))
@@ -38,10 +41,9 @@
     let [mut one, two] = pair();
     let mut out = Vec::new();
     let sent = Extension::Dissemination(vec![7]);
-    assert!(two.send_extensions(address(1), vec![sent.clone()], &mut out));
-    let (to, data) = datagrams(&mut out).remove(0);
+    let data = two.extensions_datagram(&address(1), vec![sent.clone()]).unwrap();
     let mut envelope = Envelope::decode(&data).unwrap();
-    assert_eq!((to, envelope.payload), (address(1), &[][..]));
+    assert!(envelope.payload.is_empty());
     assert_eq!(envelope.extensions(), [Extension::Sender(LifeId::from(two.me())), sent]);
     envelope.digest = 99;
     assert_eq!(one.receive(1, &envelope, &mut out), Ok(()));
@@ -69,9 +71,7 @@
     let [mut one, two] = pair();
     assert!(two.reads_extensions(&address(1)) && one.reads_extensions(&address(2)));
     one.members.heard(&address(2), 1);
-    let mut out = Vec::new();
-    assert!(!one.send_extensions(address(2), vec![Extension::Dissemination(vec![7])], &mut out));
-    assert_eq!(out, []);
+    assert_eq!(one.extensions_datagram(&address(2), vec![Extension::Dissemination(vec![7])]), None);
 }
 
 /// Tells a process that it is gone, by a probe as one that holds it for gone would send it.
