Dissemination: between regions each push repeats the entry before it, and probes are the shipped ones

A lost push between regions costs the next entry, a question and an answer over up to 400 ms for all below it. Few links lie between regions, and each carries an entry twice at the most.

--- a/lab/src/dissemination/joint.rs
+++ b/lab/src/dissemination/joint.rs
@@ -6,7 +6,6 @@
 use crate::cluster::{LinkConditions, SimulatedCluster, Topology};
 use crate::model::{Micros, SECOND};
 use std::collections::BTreeMap;
-use std::time::Duration;
 use walkpick::peers::dissemination::{
     Dissemination, DisseminationConfig, DisseminationCounters, DisseminationOutput, Entry,
 };
@@ -24,10 +23,6 @@
 const STATE: u16 = 1;
 const SEEDS: usize = 3;
 
-/// Regions are up to 200 ms apart, one way: an answer takes up to 400 ms, longer than the shipped 180 ms allow.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(450);
-const PROBE_EVERY: Duration = Duration::from_secs(1);
-
 /// A run under way.
 struct Run {
     cluster: SimulatedCluster,
@@ -46,8 +41,6 @@
 pub fn run(load: &Load) -> Outcome {
     let config = PeersConfig {
         nodes: load.nodes as u32,
-        probe_every: PROBE_EVERY,
-        probe_timeout: PROBE_TIMEOUT,
         dissemination: Some(DisseminationConfig::default()),
         ..PeersConfig::default()
     };
--- a/src/peers/dissemination/log.rs
+++ b/src/peers/dissemination/log.rs
@@ -12,6 +12,8 @@
 pub const RETAINED_BYTES: usize = 512 * 1_024;
 /// Entries that wait for one before them reach so far ahead at the most; later ones are asked for again in their turn.
 const WINDOW: u64 = 1_024;
+/// An entry that came so long ago is likely to have been asked for again where it was lost.
+const RECENT: Micros = 500_000;
 /// Ranges that a position names.
 const MOST_RANGES: usize = 8;
 /// Epochs whose beginning is remembered.
@@ -185,6 +187,12 @@
         self.entries.get(&sequence)
     }
 
+    /// The entry before that sequence, where it came not long ago.
+    pub fn recent_before(&self, now: Micros, sequence: u64) -> Option<&Entry> {
+        let held = self.entries.get(&sequence.checked_sub(1)?)?;
+        (now < held.at + RECENT).then_some(&held.entry)
+    }
+
     /// What somebody at that position lacks and this node holds, in order.
     pub fn lacked_at<'a>(&'a self, theirs: &'a LogPosition) -> impl Iterator<Item = &'a Held> {
         let holds = |sequence: u64| theirs.holds.iter().any(|range| (range.0..=range.1).contains(&sequence));
--- a/src/peers/dissemination/sending.rs
+++ b/src/peers/dissemination/sending.rs
@@ -215,7 +215,13 @@
         let mut states = self.states.positions_of(publisher);
         states.truncate(MOST_TOLD);
         let room = self.config.largest_datagram - HEADER;
+        let far = self.overlay.at(to).is_some_and(|child| !child.shares_region(&self.me));
+        let repeated = waiting.front().filter(|_| far).and_then(|&first| log.recent_before(now, first));
         let (mut taken, mut size, mut entries) = (0, 0, Vec::new());
+        if let Some(repeated) = repeated {
+            size += repeated.size();
+            entries.push(repeated.clone());
+        }
         for &sequence in waiting {
             // What is no longer held is left to a snapshot.
             if let Some(held) = log.get(sequence) {
@@ -227,7 +233,8 @@
             }
             taken += 1;
         }
-        let sent = entries.is_empty() || {
+        let nothing_new = entries.len() == usize::from(repeated.is_some());
+        let sent = nothing_new || {
             let (epoch, first) = (log.epoch(), log.first());
             let message = Message::Entries { publisher, epoch, first, entries, states };
             self.send(now, budget, TrafficClass::Log, to, &message, out)
--- a/src/peers/dissemination/tests.rs
+++ b/src/peers/dissemination/tests.rs
@@ -123,6 +123,18 @@
     assert_eq!(joined.snapshot_for(&at(5, true)), Some(10));
 }
 
+#[test]
+fn the_entry_before_another_one_is_repeated_while_it_is_recent() {
+    let mut log = Log::new(0, 1, 1, 0, true);
+    for sequence in 1..=2 {
+        log.insert(sequence * 100_000, entry(1, sequence));
+    }
+    assert_eq!(log.recent_before(300_000, 3).map(|entry| entry.sequence), Some(2));
+    assert_eq!(log.recent_before(300_000, 2).map(|entry| entry.sequence), Some(1));
+    assert_eq!(log.recent_before(300_000, 1), None, "there is none before the first");
+    assert_eq!(log.recent_before(700_000, 3), None, "what came long ago was asked for since");
+}
+
 #[test]
 fn the_newest_state_wins_and_a_refused_one_leaves_the_last_good_one() {
     let mut states = States::default();
@@ -238,16 +250,32 @@
     cores: [Dissemination; 2],
     budgets: [ByteBudget; 2],
     told: Vec<(usize, DisseminationOutput)>,
+    /// Datagrams of the first one that are lost from now on.
+    lost: usize,
 }
 
 impl Pair {
     fn new() -> Self {
+        Self::of([member(0), member(1)])
+    }
+
+    fn of(members: [Member; 2]) -> Self {
         let core = |node: usize| {
-            let mut core = Dissemination::new(DisseminationConfig::default(), member(node), node as u64, 0);
-            core.member_present(member(1 - node));
+            let config = DisseminationConfig::default();
+            let mut core = Dissemination::new(config, members[node], node as u64, 0);
+            core.member_present(members[1 - node]);
             core
         };
-        Self { now: 0, cores: [core(0), core(1)], budgets: [budget(), budget()], told: Vec::new() }
+        Self { now: 0, cores: [core(0), core(1)], budgets: [budget(), budget()], told: Vec::new(), lost: 0 }
+    }
+
+    /// The entries that the second one's subscriber got.
+    fn delivered(&self) -> Vec<u64> {
+        let delivered = self.told.iter().filter_map(|(node, output)| match output {
+            DisseminationOutput::Deliver { entry, .. } if *node == 1 => Some(entry.sequence),
+            _ => None,
+        });
+        delivered.collect()
     }
 
     fn run(&mut self, time: Micros) {
@@ -269,6 +297,10 @@
                 self.told.push((node, output));
                 continue;
             };
+            if node == 0 && self.lost > 0 {
+                self.lost -= 1;
+                continue;
+            }
             let mut out = Vec::new();
             let from = member(node).address;
             self.cores[other].receive(self.now, from, &data, &mut self.budgets[other], &mut out);
@@ -287,6 +319,7 @@
     fn publish(&mut self, payload: Vec<u8>) -> Result<u64, PublishError> {
         let mut out = Vec::new();
         let published = self.cores[0].publish_log(self.now, 3, 9, payload, &mut out);
+        self.cores[0].flush(self.now, &mut self.budgets[0], &mut out);
         self.carry_out(0, out);
         published
     }
@@ -320,6 +353,23 @@
     assert_eq!(acknowledged.collect::<Vec<_>>(), [(1, 2)]);
 }
 
+#[test]
+fn between_regions_an_entry_that_was_lost_comes_with_the_next_one() {
+    let near = Member { location: member(0).location, ..member(1) };
+    for (second, expected) in [(member(1), vec![1, 2]), (near, vec![])] {
+        let mut pair = Pair::of([member(0), second]);
+        pair.run(3 * SECOND);
+        pair.open(1, 1).unwrap();
+        pair.run(SECOND);
+        pair.lost = 1;
+        pair.publish(vec![1]).unwrap();
+        pair.publish(vec![2]).unwrap();
+        assert_eq!(pair.delivered(), expected, "without a question");
+        pair.run(SECOND);
+        assert_eq!(pair.delivered(), [1, 2]);
+    }
+}
+
 #[test]
 fn what_cannot_be_published_is_refused_with_its_reason() {
     let mut pair = Pair::new();
