Admission: refusals count by how sends fare, so that a jam is not fed by what is sent into it

Cause: a refusal counted as a quarter of a failure (src/policy/admission.rs, refuses), so that 60% are refused only while 57% of what is sent fails, and admission grew fourfold within four aims as soon as a few were in time, faster than caches fill. Now: five times the square of the failing share, one at the most.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -22,8 +22,11 @@
 const ADMIT: f64 = 1.3;
 /// Answers in time that are taken for granted: one of many nodes sees no more than some ten within the span.
 const ADMIT_PRIOR: f64 = 1.0;
-/// What a refusal for want of admission counts: less than a failure, so that admission grows fast again.
-const REFUSED: f64 = 0.25;
+/// What a refusal for want of admission counts, as a part of a failure: so many times the square of the share
+/// of sends that fail, one at the most. While many fail, what was refused would have failed as well: a jam
+/// lasts for as long as most of what is sent into it is wasted. Once sends are in time a refusal counts for
+/// little, and admission grows fast again.
+const REFUSED: f64 = 5.0;
 /// Aims of the quickest class over which it is counted what is in time: a jam comes and goes within a few.
 pub(super) const RATE_AIMS: u32 = 4;
 
@@ -114,8 +117,11 @@
     /// drains only if most is refused before it is sent.
     pub(super) fn refuses(&mut self, luck: f64) -> bool {
         let good = self.good + ADMIT_PRIOR;
-        let excess = luck * (good + self.bad) > good * ADMIT;
-        self.bad += if excess { REFUSED } else { 0.0 };
+        let sent = good + self.bad;
+        let failing = self.bad / sent;
+        let refused = self.refused * (REFUSED * failing * failing).min(1.0);
+        let excess = luck * (sent + refused) > good * ADMIT;
+        self.refused += if excess { 1.0 } else { 0.0 };
         excess
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -56,10 +56,11 @@
     fetches: Breaker,
     /// Never walked but to forget: its order differs from run to run.
     keys: HashMap<u64, Key>,
-    /// Answers that show no queue, and what showed one or was refused for it, over about `rate_span`.
+    /// Answers that show no queue, what showed one, and what was refused for that, over about `rate_span`.
     rate_span: Duration,
     good: f64,
     bad: f64,
+    refused: f64,
     counted: Timestamp,
     /// When the last list came.
     listed: Timestamp,
@@ -104,6 +105,7 @@
             rate_span,
             good: 0.0,
             bad: 0.0,
+            refused: 0.0,
             counted: Timestamp::default(),
             listed: Timestamp::default(),
             filled: Timestamp::default(),
@@ -113,7 +115,8 @@
     /// Takes in what happened at `now` and appends what the node must do.
     pub fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
         let faded = (-now.since(self.counted).as_secs_f64() / self.rate_span.as_secs_f64()).exp();
-        (self.good, self.bad, self.counted) = (self.good * faded, self.bad * faded, now);
+        (self.good, self.bad, self.refused) = (self.good * faded, self.bad * faded, self.refused * faded);
+        self.counted = now;
         self.refill(now);
         match event {
             Event::Nodes(nodes) => {
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -217,6 +217,33 @@
     assert!(after > 80, "{after} of 100 sent once it answers");
 }
 
+/// A jammed fleet that serves one in five in time. The danger: most of what is sent into it fails, which keeps its queues
+/// and its origin's full, and a jam that would pass lasts.
+#[test]
+fn what_is_sent_into_a_jam_is_little_more_than_what_is_served() {
+    let mut node = Node::new(Settings { nodes: 300, ..settings() }, 1);
+    node.full_list((0..3_000).map(|i| ServerEntry::new(&format!("s{i}"))).collect());
+    let mut rng = fastrand::Rng::with_seed(3);
+    let (mut sent, mut served, mut room) = (0.0, 0.0, 0.0);
+    for step in 0..4_000 {
+        room = (room + 0.2f64).min(5.0);
+        let id = node.request(0, rng.u64(..), ms(400));
+        while node.out(&id).is_some() {
+            let in_time = room >= 1.0;
+            room -= if in_time { 1.0 } else { 0.0 };
+            node.answer(&id, if in_time { Status::Ok } else { Status::QueueFull });
+            if step >= 1_000 {
+                sent += 1.0;
+                served += if in_time { 1.0 } else { 0.0 };
+            }
+        }
+        node.pass(ms(10));
+        node.requests.retain(|_, open| !open.ended);
+    }
+    assert!(served > 0.9 * 0.2 * 3_000.0, "{served} of 600 were served that could be");
+    assert!(sent < 1.9 * served, "{sent} were sent for {served} that were served");
+}
+
 #[test]
 fn late_answers_that_met_no_queue_hardly_lower_a_servers_limit() {
     // The danger: heavy requests are late by their own work, and a calm fleet's limits creep down until it refuses.
