Membership: relays have two round trips, and bursts are flatter

Relays may lie as far from the peer as regions are apart: one and a half of the longest round trip was too short for middle regions. The bucket is 7,000 a second and 5,000 deep in place of 6,500 and 7,500: the same 40,000 in any 5 s, and less of it at once. Its test takes the bucket's own depth.

--- a/src/peers/membership/pacing.rs
+++ b/src/peers/membership/pacing.rs
@@ -5,8 +5,8 @@
 
 /// Bytes that membership sends in any 5 s at the most, but for probes and their answers, which always go: 8,000 a second
 /// on the mean. The rate over 5 s and the depth together come to that.
-const BYTES_PER_SECOND: u32 = 6_500;
-const DEPTH: u32 = 7_500;
+const BYTES_PER_SECOND: u32 = 7_000;
+const DEPTH: u32 = 5_000;
 /// A message of gossip without news, and what each piece of news adds: two identities, and one.
 const GOSSIP_BYTES: usize = 140;
 const NEWS_BYTES: usize = 34;
--- a/src/peers/membership/pacing/tests.rs
+++ b/src/peers/membership/pacing/tests.rs
@@ -38,7 +38,7 @@
 fn lists_become_short_and_then_end_while_bytes_lack() {
     let mut pacing = Pacing::new(0);
     assert_eq!(pacing.members_in_feed(0, false, 1_200), Some(usize::MAX));
-    pacing.take(0, 6_500);
+    pacing.take(0, DEPTH as usize - 1_000);
     assert_eq!(pacing.members_in_feed(0, false, 1_200), Some(FEW_MEMBERS));
     pacing.take(0, 1_000);
     assert_eq!(pacing.members_in_feed(0, false, 1_200), None);
--- a/src/peers/membership/round_trips.rs
+++ b/src/peers/membership/round_trips.rs
@@ -19,9 +19,9 @@
 /// A probe waits the mean, this part of it, and so many times the variation.
 const MARGIN: f64 = 0.25;
 const VARIATIONS: f64 = 4.0;
-/// The way by a relay is two round trips, of which one that is as long as the longest is rare beside another such: three
-/// halves of the longest are allowed.
-const RELAYED_HALVES: Micros = 3;
+/// The way by a relay is two round trips: to the relay, and from there to the peer, which may be farther than any region is
+/// from here. Twice the longest is enough for one of several relays.
+const RELAYED: Micros = 2;
 /// Probes whose answers are waited for: an answer that comes after the next probe has begun tells the time as well.
 const MOST_OUTSTANDING: usize = 8;
 /// Regions whose times are kept.
@@ -101,7 +101,7 @@
     /// the peer as any region is from here.
     pub fn relay_timeout(&self, least: Micros) -> Micros {
         let longest = if self.by_region.is_empty() { UNMEASURED } else { self.longest() };
-        (longest / 2 * RELAYED_HALVES).min(LONGEST).max(least)
+        (longest * RELAYED).min(LONGEST).max(least)
     }
 
     /// The longest that an answer from any region that was measured may take.
