Dissemination: nothing goes by way of suspects, and more of the budget is rate

Cause, by a trial with four times the budget (0.50 and 1.02 s): relays wait for bytes while membership sends 8,000 a second; and until membership takes a zone for lost, 7 to 9 s, entries go by way of it. Suspects are leaves of the trees now, and the common bucket is 14,336 a second and 2,048 deep in place of 12,288 and 4,096.

--- a/lab/src/commands/dissemination.rs
+++ b/lab/src/commands/dissemination.rs
@@ -31,6 +31,9 @@
     /// For so many seconds
     #[arg(long, default_value_t = 60)]
     seconds: u64,
+    /// A zone is lost after so many seconds
+    #[arg(long)]
+    zone_lost_after: Option<u64>,
     /// What tells nodes who is present
     #[arg(long, default_value = "real")]
     membership: Membership,
@@ -57,6 +60,7 @@
                     entries_per_second: self.rate.max(1),
                     entry_bytes: self.entry_bytes.clamp(16, 1_024),
                     seconds: self.seconds,
+                    zone_lost_after_s: self.zone_lost_after,
                     ..Load::planned(nodes.max(2), loss, seed)
                 }));
             }
--- a/lab/src/dissemination/cluster.rs
+++ b/lab/src/dissemination/cluster.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use walkpick::peers::dissemination::overlay::Tree;
@@ -437,7 +437,7 @@
     /// The nodes by how many others lie below them in a publisher's tree, the most first, the publisher apart.
     pub fn relays(&self, publisher: usize) -> Vec<usize> {
         let members: Vec<Member> = (0..self.nodes.len()).map(|node| self.member(node)).collect();
-        let tree = Tree::new(&members, self.key(publisher));
+        let tree = Tree::new(&members, self.key(publisher), &BTreeSet::new());
         let mut nodes: Vec<usize> = (0..members.len()).filter(|&node| node != publisher).collect();
         nodes.sort_by_cached_key(|&node| Reverse(tree.below(node).len()));
         nodes
--- a/lab/src/dissemination/figures.rs
+++ b/lab/src/dissemination/figures.rs
@@ -30,12 +30,17 @@
 }
 
 /// All figures that may be checked.
-pub const FIGURES: [Figure; 13] = [
+pub const FIGURES: [Figure; 14] = [
     Figure {
         name: "log_largest_s",
-        meaning: "from publishing an entry until the last node had it: the largest",
+        meaning: "from publishing an entry until the last node had it: the largest, away from a zone's loss",
         of: |o| o.log_largest_s,
     },
+    Figure {
+        name: "log_trouble_s",
+        meaning: "the same of entries published up to 5 s after a zone was lost",
+        of: |o| o.log_trouble_s,
+    },
     Figure { name: "log_median_s", meaning: "the same, of half of the entries", of: |o| o.log_median_s },
     Figure {
         name: "state_largest_s",
--- a/lab/src/dissemination/joint.rs
+++ b/lab/src/dissemination/joint.rs
@@ -17,6 +17,10 @@
 const SETTLE: Micros = 10 * SECOND;
 /// After the last entry, all have so long.
 const DRAIN: Micros = 8 * SECOND;
+/// What is published so long before a zone is lost may meet that on its way: the bound on an entry.
+const ON_ITS_WAY: Micros = 2_400_000;
+/// So long after it, the bounds hold again.
+const RECOVERY: Micros = 5 * SECOND;
 /// What was told is read this often.
 const STEP: Micros = SECOND / 6;
 /// The kind of the state that is published.
@@ -35,6 +39,8 @@
     acknowledged: Vec<Micros>,
     named_late: usize,
     false_words: usize,
+    /// When a zone was lost.
+    lost_at: Option<Micros>,
 }
 
 /// Runs a load on as many peers as it names, with their membership.
@@ -64,13 +70,18 @@
         acknowledged: Vec::new(),
         named_late: 0,
         false_words: 0,
+        lost_at: None,
     };
     run.cluster.disseminated.clear();
     run.cluster.begin_measuring();
     let begun = run.cluster.now();
     run.cluster.sent_by_slot = Some(Traffic::new(load.nodes));
     let count = load.entries_per_second * load.seconds;
+    let lost_from = load.zone_lost_after_s.map(|after| begun + after * SECOND);
     for sequence in 1..=count {
+        if run.lost_at.is_none() && lost_from.is_some_and(|from| run.cluster.now() >= from) {
+            run.lose_zone();
+        }
         let due = load.state_every_s > 0
             && run.cluster.now() >= begun + run.states.len() as Micros * load.state_every_s * SECOND;
         if due {
@@ -105,6 +116,18 @@
         });
     }
 
+    /// Kills all nodes of the first zone that is neither the publisher's nor has a seed.
+    fn lose_zone(&mut self) {
+        let zone = |node: usize| Topology::Regions.location(node).zone;
+        let kept: Vec<usize> = (0..SEEDS).chain([self.publisher]).map(zone).collect();
+        let Some(lost) = (0..self.nodes()).map(zone).find(|zone| !kept.contains(zone)) else { return };
+        for node in (0..self.nodes()).filter(|&node| zone(node) == lost) {
+            self.cluster.kill(node);
+            self.ledger.exempt.insert(node);
+        }
+        self.lost_at = Some(self.cluster.now());
+    }
+
     fn advance(&mut self, until: Micros) {
         self.cluster.run(until.saturating_sub(self.cluster.now()));
         for told in std::mem::take(&mut self.cluster.disseminated) {
@@ -122,7 +145,7 @@
                 }
                 DisseminationOutput::Acknowledged { after, nodes, .. } => {
                     self.acknowledged.push(after);
-                    self.false_words += usize::from((nodes as usize) < self.nodes());
+                    self.false_words += usize::from((nodes as usize) < self.alive());
                 }
                 DisseminationOutput::Unacknowledged { .. } => self.named_late += 1,
                 _ => {}
@@ -134,12 +157,16 @@
         self.cluster.counts.len()
     }
 
+    fn alive(&self) -> usize {
+        (0..self.nodes()).filter(|&node| self.cluster.alive(node)).count()
+    }
+
     fn core(&self, node: usize) -> Option<&Dissemination> {
         self.cluster.peers(node).and_then(|peers| peers.dissemination())
     }
 
     fn judge(&self, load: &Load, begun: Micros, ended: Micros, count: u64) -> Outcome {
-        let times = self.ledger.times(begun, ended + SECOND);
+        let times = self.calm_times(begun, ended + SECOND);
         let nodes = self.nodes();
         let got =
             |node: usize| self.ledger.count(Subscriber { node, life: 1, publisher: self.key }, 1) as u64;
@@ -152,6 +179,7 @@
         Outcome {
             load: load.clone(),
             log_largest_s: seconds(times.last().copied().unwrap_or(0)),
+            log_trouble_s: seconds(self.trouble().map_or(0, |(from, to)| self.ledger.slowest(from, to))),
             log_median_s: seconds(times.get(times.len() / 2).copied().unwrap_or(0)),
             state_largest_s: seconds(self.state_largest()),
             acknowledged_largest_s: seconds(self.acknowledged.iter().copied().max().unwrap_or(0)),
@@ -159,7 +187,7 @@
             named_late: self.named_late,
             false_words: self.false_words,
             faults: self.ledger.faults.len(),
-            lost: (0..nodes).map(|node| count.saturating_sub(got(node))).sum(),
+            lost: self.left().map(|node| count.saturating_sub(got(node))).sum(),
             resets: self.ledger.resets.iter().filter(|reset| reset.at > begun).count(),
             peak_1s: sent.largest(begun, SECOND),
             peak_5s: sent.largest(begun, 5 * SECOND),
@@ -170,12 +198,31 @@
         }
     }
 
+    /// Nodes that were not lost.
+    fn left(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.nodes()).filter(|node| !self.ledger.exempt.contains(node))
+    }
+
+    /// From when to when the loss of a zone meets what is published.
+    fn trouble(&self) -> Option<(Micros, Micros)> {
+        self.lost_at.map(|at| (at.saturating_sub(ON_ITS_WAY), at + RECOVERY))
+    }
+
+    /// The times of entries that no loss met, in order.
+    fn calm_times(&self, since: Micros, until: Micros) -> Vec<Micros> {
+        let Some((from, to)) = self.trouble() else { return self.ledger.times(since, until) };
+        let mut times = self.ledger.times(since, from);
+        times.extend(self.ledger.times(to, until));
+        times.sort_unstable();
+        times
+    }
+
     /// The largest time from a change of state until all had it, or a newer one, in force.
     fn state_largest(&self) -> Micros {
         let mut largest = 0;
         for (place, &published) in self.states.iter().enumerate() {
             let version = place as u64 + 1;
-            for node in 0..self.nodes() {
+            for node in self.left() {
                 let later = self.in_force.iter().filter(|((found, by), _)| *by == node && *found >= version);
                 let at = later.map(|(_, at)| *at).min().unwrap_or(self.cluster.now());
                 largest = largest.max(at.saturating_sub(published));
--- a/lab/src/dissemination/scenario.rs
+++ b/lab/src/dissemination/scenario.rs
@@ -29,6 +29,9 @@
     pub seconds: u64,
     /// A change of state every so many seconds; none at 0.
     pub state_every_s: u64,
+    /// A zone other than the publisher's is lost after so many seconds; over real membership alone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone_lost_after_s: Option<u64>,
 }
 
 impl Load {
@@ -39,7 +42,16 @@
 
     /// The operators' plan: 6 purges a second for 60 s, and a change of configuration every 10 s.
     pub fn planned(nodes: usize, loss: f64, seed: u64) -> Self {
-        Self { nodes, loss, seed, entries_per_second: 6, entry_bytes: 100, seconds: 60, state_every_s: 10 }
+        Self {
+            nodes,
+            loss,
+            seed,
+            entries_per_second: 6,
+            entry_bytes: 100,
+            seconds: 60,
+            state_every_s: 10,
+            zone_lost_after_s: None,
+        }
     }
 }
 
@@ -48,8 +60,10 @@
 pub struct Outcome {
     /// The load.
     pub load: Load,
-    /// The largest time from publishing an entry until a subscriber had it.
+    /// The largest time from publishing an entry until a subscriber had it; away from a zone's loss and the 5 s behind it.
     pub log_largest_s: f64,
+    /// The same of entries that the loss met.
+    pub log_trouble_s: f64,
     /// The same, of half of the entries.
     pub log_median_s: f64,
     /// The largest time from a change of state until all had it in force.
@@ -143,6 +157,7 @@
     Outcome {
         load: load.clone(),
         log_largest_s: seconds(times.last().copied().unwrap_or(0)),
+        log_trouble_s: 0.0,
         log_median_s: seconds(times.get(times.len() / 2).copied().unwrap_or(0)),
         state_largest_s: seconds(state_largest(cluster, states)),
         acknowledged_largest_s: seconds(acknowledged.iter().copied().max().unwrap_or(0)),
--- a/lab/src/scale/dissemination.rs
+++ b/lab/src/scale/dissemination.rs
@@ -22,12 +22,23 @@
     pub seconds: u64,
     /// A change of state every so many seconds; none at 0.
     pub state_every_s: u64,
+    /// A zone is lost after so many seconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub zone_lost_after_s: Option<u64>,
     /// What tells nodes who is present.
     pub membership: Membership,
 }
 
-const KEYS: [&str; 7] =
-    ["nodes", "loss", "entries_per_second", "entry_bytes", "seconds", "state_every_s", "membership"];
+const KEYS: [&str; 8] = [
+    "nodes",
+    "loss",
+    "entries_per_second",
+    "entry_bytes",
+    "seconds",
+    "state_every_s",
+    "zone_lost_after_s",
+    "membership",
+];
 
 impl DisseminationExperiment {
     /// The kind `[dissemination]`.
@@ -46,6 +57,7 @@
             entry_bytes: reader.optional("entry_bytes", whole).unwrap_or(planned.entry_bytes),
             seconds: reader.optional("seconds", whole).unwrap_or(planned.seconds),
             state_every_s: reader.optional("state_every_s", whole).unwrap_or(planned.state_every_s),
+            zone_lost_after_s: reader.optional("zone_lost_after_s", whole),
             membership: reader.optional("membership", "one of real, stand-in").unwrap_or_default(),
         };
         for nodes in &read.nodes {
@@ -72,6 +84,7 @@
                     entry_bytes: self.entry_bytes,
                     seconds: self.seconds,
                     state_every_s: self.state_every_s,
+                    zone_lost_after_s: self.zone_lost_after_s,
                 }));
             }
         }
--- a/src/peers/dissemination/mod.rs
+++ b/src/peers/dissemination/mod.rs
@@ -104,6 +104,12 @@
         self.overlay.insert(member);
     }
 
+    /// A member may be gone: until it is told to be present again, nothing goes by way of it.
+    pub fn member_suspected(&mut self, member: Member) {
+        self.overlay.insert(member);
+        self.overlay.suspect(&member);
+    }
+
     /// A life of a member is gone.
     pub fn member_gone(&mut self, member: &Member) {
         if self.overlay.remove(member) {
--- a/src/peers/dissemination/overlay.rs
+++ b/src/peers/dissemination/overlay.rs
@@ -2,11 +2,12 @@
 //!
 //! Rule: members are grouped by region, then zone, then site. Groups of one level, and the nodes of one site, are ordered
 //! by rendezvous hashing of their name with the publisher's key; the publisher's own groups, and the publisher, come
-//! first. The first node of each group is its relay. The relays of one level form a heap with [`FANOUT`] children each. A
+//! first. Nodes that are suspected come last in their site, and groups of such nodes alone last among their like: entries go
+//! to them, and no others go by way of them. The first node of each group is its relay. The relays of one level form a heap with [`FANOUT`] children each. A
 //! relay with children on one level leaves its own group to the next node of that group (its deputy), so that no node has
 //! more than `FANOUT + 1` children whatever the number of levels.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 
 /// Children of a relay on one level. With two, and a deputy, a node sends each entry three times at the most: at 6
@@ -70,16 +71,27 @@
 }
 
 impl Tree {
-    /// The tree of the publisher with this key, which need not be present.
-    pub fn new(members: &[Member], publisher: u64) -> Self {
+    /// The tree of the publisher with this key, which need not be present. `suspected`: keys of those that may be gone.
+    pub fn new(members: &[Member], publisher: u64, suspected: &BTreeSet<u64>) -> Self {
         let root = members.iter().find(|member| member.key == publisher);
+        let sound = groups_with_sound_members(members, suspected);
         let rank = |member: &Member| {
             let score = |what: u64| mix(publisher ^ mix(what));
             let level = |level: usize| {
                 let group = member.location[level];
-                (root.is_none_or(|root| root.location[level] != group), score(group), group)
+                let is_roots = root.is_some_and(|root| root.location[level] == group);
+                (!is_roots, !sound.contains(&group), score(group), group)
             };
-            (level(0), level(1), level(2), member.key != publisher, score(member.key), member.key)
+            let is_suspected = suspected.contains(&member.key);
+            (
+                level(0),
+                level(1),
+                level(2),
+                member.key != publisher,
+                is_suspected,
+                score(member.key),
+                member.key,
+            )
         };
         let mut order: Vec<usize> = (0..members.len()).collect();
         order.sort_by_cached_key(|&place| rank(&members[place]));
@@ -152,6 +164,12 @@
     }
 }
 
+/// Regions, zones and sites with a member that is not suspected.
+fn groups_with_sound_members(members: &[Member], suspected: &BTreeSet<u64>) -> HashSet<u64> {
+    let sound = members.iter().filter(|member| !suspected.contains(&member.key));
+    sound.flat_map(|member| member.location).collect()
+}
+
 /// The present members, and the trees that were asked for since they last changed.
 #[derive(Debug)]
 pub struct Overlay {
@@ -160,6 +178,8 @@
     by_address: HashMap<SocketAddr, u64>,
     me: Member,
     set_hash: u64,
+    /// Keys of those that may be gone.
+    suspected: BTreeSet<u64>,
     trees: HashMap<u64, Tree>,
 }
 
@@ -167,7 +187,14 @@
     /// A view with the node itself alone.
     pub fn new(me: Member) -> Self {
         let by_address = HashMap::from([(me.address, me.key)]);
-        Self { members: vec![me], by_address, me, set_hash: set_hash([&me]), trees: HashMap::new() }
+        Self {
+            members: vec![me],
+            by_address,
+            me,
+            set_hash: set_hash([&me]),
+            suspected: BTreeSet::new(),
+            trees: HashMap::new(),
+        }
     }
 
     /// A member is present, or another life of it. Of two under one name the last that is told counts; the node itself
@@ -176,9 +203,17 @@
         if member.key == self.me.key {
             return;
         }
+        self.suspected.remove(&member.key);
         self.put(member);
     }
 
+    /// A member is present and may be gone: it relays nothing until it is told to be present again.
+    pub fn suspect(&mut self, member: &Member) {
+        if member.key != self.me.key && self.suspected.insert(member.key) {
+            self.trees.clear();
+        }
+    }
+
     /// The node itself has come back as another life.
     pub fn renew(&mut self, me: Member) {
         self.me = me;
@@ -193,6 +228,7 @@
         }
         let gone = self.members.remove(place);
         self.by_address.remove(&gone.address);
+        self.suspected.remove(&gone.key);
         self.set_hash = self.set_hash.wrapping_sub(mix(gone.id));
         self.trees.clear();
         true
@@ -219,7 +255,8 @@
     pub fn branch(&mut self, publisher: u64) -> Branch<'_> {
         let members = &self.members;
         let own = members.binary_search_by_key(&self.me.key, |held| held.key).unwrap_or(0);
-        let tree = self.trees.entry(publisher).or_insert_with(|| Tree::new(members, publisher));
+        let suspected = &self.suspected;
+        let tree = self.trees.entry(publisher).or_insert_with(|| Tree::new(members, publisher, suspected));
         Branch { members, by_address: &self.by_address, own, tree }
     }
 
--- a/src/peers/dissemination/tests.rs
+++ b/src/peers/dissemination/tests.rs
@@ -6,6 +6,7 @@
 use super::overlay::{mix, set_hash, Overlay, Tree, FANOUT};
 use super::state::{States, Verdict};
 use super::*;
+use std::collections::BTreeSet;
 use std::net::Ipv4Addr;
 
 const SECOND: Micros = 1_000_000;
@@ -30,7 +31,7 @@
     for nodes in [1, 2, 66, 530, 2_120] {
         let members: Vec<Member> = (0..nodes).map(member).collect();
         let root = nodes / 2;
-        let tree = Tree::new(&members, members[root].key);
+        let tree = Tree::new(&members, members[root].key, &BTreeSet::new());
         assert_eq!(tree.below(root).len(), nodes);
         assert!((0..nodes).all(|node| tree.children(node).len() <= FANOUT + 1));
         let enters = |node: &usize| {
@@ -60,10 +61,45 @@
     assert_eq!(one.set_hash(), two.set_hash());
 }
 
+#[test]
+fn one_that_is_suspected_gets_entries_and_nobody_gets_them_by_way_of_it() {
+    let mut overlay = Overlay::new(member(0));
+    (1..60).for_each(|node| overlay.insert(member(node)));
+    let publisher = member(0).key;
+    let before = overlay.branch(publisher).tree.clone();
+    let members = overlay.members().to_vec();
+    let relay = (0..60).find(|&place| !before.children(place).is_empty() && members[place].key != publisher);
+    let relay = members[relay.unwrap()];
+    overlay.suspect(&relay);
+    let branch = overlay.branch(publisher);
+    let place = branch.place(relay.address).unwrap();
+    assert!(branch.tree.children(place).is_empty() && branch.tree.parent(place).is_some());
+    let reached = branch.tree.below(branch.place(member(0).address).unwrap());
+    assert_eq!(reached.len(), 60, "all are reached, itself among them");
+    overlay.insert(relay);
+    let after = overlay.branch(publisher).tree;
+    assert!((0..60).all(|place| after.parent(place) == before.parent(place)), "as it was");
+}
+
+#[test]
+fn a_zone_that_is_suspected_as_a_whole_relays_for_itself_alone() {
+    let mut overlay = Overlay::new(member(0));
+    (1..260).for_each(|node| overlay.insert(member(node)));
+    let lost: Vec<Member> =
+        (1..260).map(member).filter(|other| other.location[1] == member(9).location[1]).collect();
+    lost.iter().for_each(|member| overlay.suspect(member));
+    let branch = overlay.branch(member(0).key);
+    for member in &lost {
+        let place = branch.place(member.address).unwrap();
+        let children = branch.tree.children(place).iter().map(|&child| branch.members[child]);
+        assert!(children.into_iter().all(|child| child.location[1] == member.location[1]));
+    }
+}
+
 #[test]
 fn a_publisher_that_is_not_present_has_a_tree_all_the_same() {
     let members: Vec<Member> = (0..100).map(member).collect();
-    let tree = Tree::new(&members, hash_name("gone"));
+    let tree = Tree::new(&members, hash_name("gone"), &BTreeSet::new());
     assert_eq!((0..100).filter(|&node| tree.parent(node).is_none()).count(), 1);
 }
 
--- a/src/peers/joined.rs
+++ b/src/peers/joined.rs
@@ -28,8 +28,9 @@
         }
         let config = DisseminationConfig { cluster: cluster.to_owned(), ..config.clone() };
         let bytes = config.control_bytes_per_second;
-        // Rate and depth together are the budget, so that no second passes it.
-        let budget = ByteBudget::new(bytes / 4 * 3, bytes / 4, now);
+        // Rate and depth together are the budget, so that no second passes it. What membership sends in trouble comes to half
+        // of it for seconds: the more of it is rate, the less entries wait then.
+        let budget = ByteBudget::new(bytes / 8 * 7, bytes / 8, now);
         Some(Self { core: Dissemination::new(config, member(me), seed, now), budget })
     }
 
@@ -40,7 +41,9 @@
             match output {
                 Output::Send { data, .. } => self.budget.take(now, data.len()),
                 Output::Standing { peer, standing } => match standing {
-                    Standing::Present | Standing::Suspected => self.present(peer),
+                    Standing::Present => self.present(peer),
+                    Standing::Suspected if !peer.observer => self.core.member_suspected(member(peer)),
+                    Standing::Suspected => {}
                     Standing::Left | Standing::Lost => self.core.member_gone(&member(peer)),
                 },
                 Output::CameBack => self.core.renewed(member(me)),
