--- a/src/peers/dissemination/mod.rs
+++ b/src/peers/dissemination/mod.rs
@@ -18,6 +18,7 @@
 mod output;
 mod publishing;
 mod receiving;
+mod reporting;
 mod sending;
 
 pub use config::DisseminationConfig;
@@ -34,6 +35,7 @@
 use message::Unreadable;
 use overlay::Overlay;
 use publishing::Publishing;
+use reporting::Reporting;
 use sending::Outbox;
 use state::{States, Verdict};
 use std::collections::BTreeMap;
@@ -60,7 +62,7 @@
     asking: BTreeMap<u64, Asking>,
     states: States,
     reports: Reports,
-    reporting: BTreeMap<u64, asking::Reporting>,
+    reporting: BTreeMap<u64, Reporting>,
     outbox: Outbox,
     publishing: Option<Publishing>,
     /// Until when it waits for a word on where logs stand.
