Lab: changes of state that a zone's loss met are told apart, as entries are

Cause: the largest time of a state held those published within the 5 s after the loss, for which no bound is given; entries were told apart already. Change: figure state_trouble_s, and both columns of trouble in the table.

--- a/lab/src/commands/dissemination.rs
+++ b/lab/src/commands/dissemination.rs
@@ -96,20 +96,22 @@
     let mut out = io::stdout().lock();
     writeln!(
         out,
-        "nodes loss seed |  log max  median  state max  ack max | lost faults false | peak 1 s  peak 5 s   mean B/s | \
+        "nodes loss seed |  log max  trouble  median  state max  trouble  ack max | lost faults false | peak 1 s  peak 5 s   mean B/s | \
          duplicates repaired given up"
     )?;
     for o in outcomes {
         let l = &o.load;
         writeln!(
             out,
-            "{:5} {:4} {:4} | {:8.2} {:7.2} {:10.2} {:8.2} | {:4} {:6} {:5} | {:8.0} {:9.0} {:10.0} | {:10} {:8} {:8}",
+            "{:5} {:4} {:4} | {:8.2} {:8.2} {:7.2} {:10.2} {:8.2} {:8.2} | {:4} {:6} {:5} | {:8.0} {:9.0} {:10.0} | {:10} {:8} {:8}",
             l.nodes,
             l.loss,
             l.seed,
             o.log_largest_s,
+            o.log_trouble_s,
             o.log_median_s,
             o.state_largest_s,
+            o.state_trouble_s,
             o.acknowledged_largest_s,
             o.lost,
             o.faults,
--- a/lab/src/dissemination/figures.rs
+++ b/lab/src/dissemination/figures.rs
@@ -30,7 +30,7 @@
 }
 
 /// All figures that may be checked.
-pub const FIGURES: [Figure; 14] = [
+pub const FIGURES: [Figure; 15] = [
     Figure {
         name: "log_largest_s",
         meaning: "from publishing an entry until the last node had it: the largest, away from a zone's loss",
@@ -44,9 +44,14 @@
     Figure { name: "log_median_s", meaning: "the same, of half of the entries", of: |o| o.log_median_s },
     Figure {
         name: "state_largest_s",
-        meaning: "from a change of state until all had it in force: the largest",
+        meaning: "from a change of state until all had it in force: the largest, away from a zone's loss",
         of: |o| o.state_largest_s,
     },
+    Figure {
+        name: "state_trouble_s",
+        meaning: "the same of changes published up to 5 s after a zone was lost",
+        of: |o| o.state_trouble_s,
+    },
     Figure {
         name: "acknowledged_largest_s",
         meaning: "from publishing until the publisher knew that all had it: the largest",
--- a/lab/src/dissemination/joint.rs
+++ b/lab/src/dissemination/joint.rs
@@ -181,7 +181,8 @@
             log_largest_s: seconds(times.last().copied().unwrap_or(0)),
             log_trouble_s: seconds(self.trouble().map_or(0, |(from, to)| self.ledger.slowest(from, to))),
             log_median_s: seconds(times.get(times.len() / 2).copied().unwrap_or(0)),
-            state_largest_s: seconds(self.state_largest()),
+            state_largest_s: seconds(self.state_largest(|at| !self.in_trouble(at))),
+            state_trouble_s: seconds(self.state_largest(|at| self.in_trouble(at))),
             acknowledged_largest_s: seconds(self.acknowledged.iter().copied().max().unwrap_or(0)),
             acknowledged: self.acknowledged.len(),
             named_late: self.named_late,
@@ -217,10 +218,15 @@
         times
     }
 
-    /// The largest time from a change of state until all had it, or a newer one, in force.
-    fn state_largest(&self) -> Micros {
+    fn in_trouble(&self, at: Micros) -> bool {
+        self.trouble().is_some_and(|(from, to)| (from..to).contains(&at))
+    }
+
+    /// The largest time from a change of state, of those published at such times, until all had it, or a newer one, in
+    /// force.
+    fn state_largest(&self, counts: impl Fn(Micros) -> bool) -> Micros {
         let mut largest = 0;
-        for (place, &published) in self.states.iter().enumerate() {
+        for (place, &published) in self.states.iter().enumerate().filter(|(_, at)| counts(**at)) {
             let version = place as u64 + 1;
             for node in self.left() {
                 let later = self.in_force.iter().filter(|((found, by), _)| *by == node && *found >= version);
--- a/lab/src/dissemination/scenario.rs
+++ b/lab/src/dissemination/scenario.rs
@@ -66,8 +66,10 @@
     pub log_trouble_s: f64,
     /// The same, of half of the entries.
     pub log_median_s: f64,
-    /// The largest time from a change of state until all had it in force.
+    /// The largest time from a change of state until all had it in force; away from a zone's loss and the 5 s behind it.
     pub state_largest_s: f64,
+    /// The same of changes that the loss met.
+    pub state_trouble_s: f64,
     /// Until the publisher could say of an entry that all had applied it: the largest.
     pub acknowledged_largest_s: f64,
     /// Entries of which it could say so.
@@ -160,6 +162,7 @@
         log_trouble_s: 0.0,
         log_median_s: seconds(times.get(times.len() / 2).copied().unwrap_or(0)),
         state_largest_s: seconds(state_largest(cluster, states)),
+        state_trouble_s: 0.0,
         acknowledged_largest_s: seconds(acknowledged.iter().copied().max().unwrap_or(0)),
         acknowledged: acknowledged.len(),
         named_late,
