Dissemination: words, copies and repetitions give way to entries on their first way

Cause: in the 5 to 10 s after a zone's loss membership takes half of a relay's bytes, and the other half went into a confirmation for each report, three copies of each state to nodes that had it, and entries repeated between regions; entries waited. Change: a report is confirmed every 300 ms at the most, and a node goes to those above its parent by time without a word; a copy of a state ends with the report of it, and further copies and repetitions are paid as what is sent again; reports wait while entries wait.

--- a/src/peers/dissemination/mod.rs
+++ b/src/peers/dissemination/mod.rs
@@ -35,7 +35,7 @@
 use message::Unreadable;
 use overlay::Overlay;
 use publishing::Publishing;
-use reporting::Reporting;
+use reporting::{Confirmations, Reporting};
 use sending::Outbox;
 use state::{States, Verdict};
 use std::collections::BTreeMap;
@@ -63,6 +63,7 @@
     states: States,
     reports: Reports,
     reporting: BTreeMap<u64, Reporting>,
+    confirmations: Confirmations,
     outbox: Outbox,
     publishing: Option<Publishing>,
     /// Until when it waits for a word on where logs stand.
@@ -88,6 +89,7 @@
             states: States::default(),
             reports: Reports::default(),
             reporting: BTreeMap::new(),
+            confirmations: Confirmations::default(),
             outbox: Outbox::default(),
             publishing: None,
             joining: Some(now + JOINING),
--- a/src/peers/dissemination/receiving.rs
+++ b/src/peers/dissemination/receiving.rs
@@ -40,14 +40,7 @@
                 }
             }
             Message::Reports(reports) => self.take_reports(now, from, reports),
-            Message::Confirm { publisher } => {
-                let parent = self.overlay.branch(publisher).ancestors().next();
-                if parent.is_some_and(|parent| parent.address == from) {
-                    self.reporting.entry(publisher).or_default().unconfirmed = 0;
-                } else if let Some(reporting) = self.reporting.get_mut(&publisher) {
-                    reporting.confirmed_above();
-                }
-            }
+            Message::Confirm { publisher } => self.take_confirmation(now, from, publisher),
             Message::Fenced { publisher, epoch, first } => {
                 if self.logs.contains_key(&publisher) {
                     self.goes_by(now, from, publisher, epoch, first, out);
--- a/src/peers/dissemination/reporting.rs
+++ b/src/peers/dissemination/reporting.rs
@@ -3,15 +3,27 @@
 use super::super::{Micros, TrafficClass};
 use super::acknowledgement::LineKey;
 use super::message::{Line, Message, Report};
+use super::overlay::Member;
+use super::state::StateKey;
 use super::{Dissemination, DisseminationOutput};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
-/// Reports go up this often where something changed, and this often in any case.
+/// Reports go up this often where something changed and no entry waits for the budget, and this often in any case.
 const REPORT_EVERY: Micros = 150_000;
 const REPEAT_REPORT: Micros = 1_000_000;
-/// So many reports without a word from the parent, and the nodes above it are told as well.
-const UNCONFIRMED: u32 = 2;
+/// A node confirms the reports of one below it this often at the most: each report repeats all of the one before it.
+const CONFIRM_EVERY: Micros = 300_000;
+/// For so long a parent within the region, or in another one, may be without a word: a confirmation that waits its turn,
+/// one round trip, and one confirmation lost. Then the node above it is told as well, and one more for each time as long.
+const CONFIRMED_WITHIN_NEAR: Micros = 700_000;
+const CONFIRMED_WITHIN_FAR: Micros = 1_100_000;
+/// Nodes above the parent that are told at the most.
+const MOST_ABOVE_PARENT: Micros = 4;
+/// Nodes above the parent that are told while one of them confirms.
+const ABOVE_PARENT_CONFIRMED: Micros = 2;
+/// Nodes whose confirmations are remembered: more than a node has children.
+const MOST_CONFIRMED: usize = 256;
 /// A branch that has not said after this time that it applied what its parent has is named: 2.4 s to apply it, and 11
 /// levels at which a report waits up to 150 ms.
 pub const LAG: Micros = 4_000_000;
@@ -22,16 +34,29 @@
     /// Something changed since the last report.
     pub changed: bool,
     sent_at: Micros,
-    /// Reports that the parent did not confirm.
-    pub unconfirmed: u32,
+    /// When the first report was sent that the parent has not confirmed.
+    unconfirmed_since: Option<Micros>,
     /// What this node itself had applied, and when.
     history: BTreeMap<Line, VecDeque<(Micros, u64)>>,
 }
 
 impl Reporting {
+    /// The parent confirmed.
+    pub fn confirmed(&mut self) {
+        self.unconfirmed_since = None;
+    }
+
     /// Somebody above the parent confirmed: there is no need to go on to those above.
-    pub fn confirmed_above(&mut self) {
-        self.unconfirmed = self.unconfirmed.min(UNCONFIRMED + 1);
+    pub fn confirmed_above(&mut self, now: Micros, far: bool) {
+        let enough = now.saturating_sub(ABOVE_PARENT_CONFIRMED * confirmed_within(far));
+        self.unconfirmed_since = self.unconfirmed_since.map(|since| since.max(enough));
+    }
+
+    /// A report is sent now: how many of the nodes above are told.
+    fn levels(&mut self, now: Micros, far: bool) -> usize {
+        let since = *self.unconfirmed_since.get_or_insert(now);
+        let above_parent = (now - since) / confirmed_within(far);
+        1 + above_parent.min(MOST_ABOVE_PARENT) as usize
     }
 
     /// Notes what this node has applied; what it had [`LAG`] ago, which its branch is to have by now.
@@ -50,24 +75,67 @@
     }
 }
 
+fn is_far(me: &Member, parent: Option<&Member>) -> bool {
+    parent.is_some_and(|parent| !parent.shares_region(me))
+}
+
+fn confirmed_within(far: bool) -> Micros {
+    if far {
+        CONFIRMED_WITHIN_FAR
+    } else {
+        CONFIRMED_WITHIN_NEAR
+    }
+}
+
+/// When the reports of nodes below were last confirmed.
+#[derive(Clone, Debug, Default)]
+pub struct Confirmations(BTreeMap<(u64, SocketAddr), Micros>);
+
+impl Confirmations {
+    /// Whether a node's report on a publisher is to be confirmed now; then it is noted as done.
+    fn due(&mut self, now: Micros, publisher: u64, from: SocketAddr) -> bool {
+        let recent = |at: &Micros| now < at + CONFIRM_EVERY;
+        if self.0.get(&(publisher, from)).is_some_and(recent) {
+            return false;
+        }
+        if self.0.len() >= MOST_CONFIRMED {
+            self.0.retain(|_, at| recent(at));
+        }
+        self.0.insert((publisher, from), now);
+        true
+    }
+}
+
 impl Dissemination {
+    /// A node above has confirmed a report of this one.
+    pub(super) fn take_confirmation(&mut self, now: Micros, from: SocketAddr, publisher: u64) {
+        let parent = self.overlay.branch(publisher).ancestors().next().copied();
+        let Some(reporting) = self.reporting.get_mut(&publisher) else { return };
+        match parent {
+            Some(parent) if parent.address == from => reporting.confirmed(),
+            parent => reporting.confirmed_above(now, is_far(&self.me, parent.as_ref())),
+        }
+    }
+
     /// Reports what its branch has applied, or, at the publisher, looks at what all have.
     pub(super) fn report(&mut self, now: Micros, out: &mut Vec<DisseminationOutput>) {
         let publishers: BTreeSet<u64> =
             self.logs.keys().copied().chain(self.states.iter().map(|(key, _)| key.publisher)).collect();
+        let entries_wait = self.outbox.pushes_wait();
         for publisher in publishers {
             if self.publishes(publisher) {
                 self.look_at_acknowledgements(now, out);
                 continue;
             }
             let reporting = self.reporting.entry(publisher).or_default();
-            let wait = if reporting.changed { REPORT_EVERY } else { REPEAT_REPORT };
+            let soon = reporting.changed && !entries_wait;
+            let wait = if soon { REPORT_EVERY } else { REPEAT_REPORT };
             if now < reporting.sent_at + wait {
                 continue;
             }
             (reporting.changed, reporting.sent_at) = (false, now);
-            let levels = 1 + reporting.unconfirmed.saturating_sub(UNCONFIRMED - 1).min(4) as usize;
-            reporting.unconfirmed += 1;
+            let parent = self.overlay.branch(publisher).ancestors().next();
+            let levels = reporting.levels(now, is_far(&self.me, parent));
             let reports = self.gather_all(now, publisher);
             if reports.is_empty() {
                 continue;
@@ -116,9 +184,7 @@
                 continue;
             }
             publishers.insert(publisher);
-            if report.line == Line::Log {
-                self.note_report(from, &report);
-            }
+            self.note_report(from, &report);
             let key = LineKey { publisher, line: report.line };
             let before = self.reports.through(key, from);
             let moved = before != Some((report.epoch, report.through, report.set_hash));
@@ -129,15 +195,28 @@
             }
         }
         for publisher in publishers {
-            self.outbox.small(TrafficClass::Log, from, Message::Confirm { publisher });
+            if self.confirmations.due(now, publisher, from) {
+                self.outbox.small(TrafficClass::Log, from, Message::Confirm { publisher });
+            }
         }
     }
 
-    /// A branch whose nodes have all of a log up to some entry needs no push of what came before.
+    /// A branch whose nodes have all of a line up to some place needs no push of what came before.
     fn note_report(&mut self, from: SocketAddr, report: &Report) {
-        let epoch = self.logs.get(&report.publisher).map(super::log::Log::epoch);
-        if epoch == Some(report.epoch) {
-            self.outbox.has(report.publisher, from, report.through);
+        let publisher = report.publisher;
+        match report.line {
+            Line::Log => {
+                if self.logs.get(&publisher).is_some_and(|log| log.epoch() == report.epoch) {
+                    self.outbox.has(publisher, from, report.through);
+                }
+            }
+            Line::State(kind) => {
+                let key = StateKey { publisher, kind };
+                let newest = self.states.get(key).map(|slot| (slot.newest.epoch, slot.newest.sequence));
+                if newest == Some((report.epoch, report.through)) {
+                    self.outbox.has_state(from, key);
+                }
+            }
         }
     }
 }
--- a/src/peers/dissemination/sending.rs
+++ b/src/peers/dissemination/sending.rs
@@ -33,6 +33,19 @@
     key: StateKey,
     at: Micros,
     copies: u32,
+    /// Whether one was sent already.
+    repeats: bool,
+}
+
+impl StatePush {
+    /// The first copy goes before entries; those that make up for a lost one take what these leave.
+    fn class(&self) -> TrafficClass {
+        if self.repeats {
+            TrafficClass::Repair
+        } else {
+            TrafficClass::Configuration
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -80,7 +93,7 @@
             self.states.pop_front();
             self.given_up += 1;
         }
-        self.states.push_back(StatePush { to, key, at: now, copies });
+        self.states.push_back(StatePush { to, key, at: now, copies, repeats: false });
     }
 
     /// An entry for a child; how many others were given up for it.
@@ -94,6 +107,11 @@
         1
     }
 
+    /// Whether entries wait for the budget.
+    pub fn pushes_wait(&self) -> bool {
+        self.pushes.values().any(|waiting| !waiting.is_empty())
+    }
+
     /// A node has all up to this entry.
     pub fn has(&mut self, publisher: u64, node: SocketAddr, delivered: u64) {
         if let Some(waiting) = self.pushes.get_mut(&(publisher, node)) {
@@ -101,6 +119,11 @@
         }
     }
 
+    /// A node has a version of a state: no more copies of it are for that node.
+    pub fn has_state(&mut self, node: SocketAddr, key: StateKey) {
+        self.states.retain(|push| (push.to, push.key) != (node, key));
+    }
+
     /// A node asked: its last question counts. How many were given up for it.
     pub fn repair(&mut self, to: SocketAddr, position: LogPosition, grown_before: Micros) -> u64 {
         let key = (to, position.publisher);
@@ -136,6 +159,12 @@
         self.small.len() + self.states.len() + pushes + self.repairs.len()
     }
 
+    /// Reports that wait.
+    #[cfg(test)]
+    pub fn waiting_reports(&self) -> usize {
+        self.small.iter().filter(|(_, _, message)| matches!(message, Message::Reports(_))).count()
+    }
+
     fn retry(&mut self, at: Micros) {
         self.retry_at = Some(self.retry_at.map_or(at, |retry| retry.min(at)));
     }
@@ -163,8 +192,9 @@
                 continue;
             }
             let message = Message::State { publisher: push.key.publisher, entry: slot.newest.clone() };
-            if self.send(now, budget, TrafficClass::Configuration, push.to, &message, out) {
+            if self.send(now, budget, push.class(), push.to, &message, out) {
                 push.copies -= 1;
+                push.repeats = true;
                 push.at = now + NEXT_COPY;
             }
             if push.copies > 0 {
@@ -216,7 +246,10 @@
         states.truncate(MOST_TOLD);
         let room = self.config.largest_datagram - HEADER;
         let far = self.overlay.at(to).is_some_and(|child| !child.shares_region(&self.me));
+        // What is sent twice is paid as what is sent again: not from what entries on their first way need.
+        let spare = |entry: &&Entry| budget.wait(now, TrafficClass::Repair, entry.size()) == Some(0);
         let repeated = waiting.front().filter(|_| far).and_then(|&first| log.recent_before(now, first));
+        let repeated = repeated.filter(spare);
         let (mut taken, mut size, mut entries) = (0, 0, Vec::new());
         if let Some(repeated) = repeated {
             size += repeated.size();
--- a/src/peers/dissemination/tests.rs
+++ b/src/peers/dissemination/tests.rs
@@ -288,6 +288,8 @@
     told: Vec<(usize, DisseminationOutput)>,
     /// Datagrams of the first one that are lost from now on.
     lost: usize,
+    /// By which node, and what, those that were lost among them.
+    sent: Vec<(usize, Message)>,
 }
 
 impl Pair {
@@ -302,7 +304,14 @@
             core.member_present(members[1 - node]);
             core
         };
-        Self { now: 0, cores: [core(0), core(1)], budgets: [budget(), budget()], told: Vec::new(), lost: 0 }
+        Self {
+            now: 0,
+            cores: [core(0), core(1)],
+            budgets: [budget(), budget()],
+            told: Vec::new(),
+            lost: 0,
+            sent: Vec::new(),
+        }
     }
 
     /// The entries that the second one's subscriber got.
@@ -333,6 +342,8 @@
                 self.told.push((node, output));
                 continue;
             };
+            let cluster = hash_name("walkpick") as u32;
+            self.sent.push((node, message::decode(cluster, 1_400, &data).unwrap()));
             if node == 0 && self.lost > 0 {
                 self.lost -= 1;
                 continue;
@@ -469,3 +480,5 @@
     assert_eq!(pair.cores[0].held_entries(), MOST_PUBLISHERS);
     assert!(pair.cores[0].counters().refused >= 92);
 }
+
+mod pressure;
