--- a/lab/src/measure/decisions.rs
+++ b/lab/src/measure/decisions.rs
@@ -258,38 +258,26 @@
 
 /// Microseconds a request, and the same as a ratio to the loop.
 fn time(axis: &Axis, effort: &Effort) -> [Series; 2] {
-    let name = |unit: &str| format!("decision.{unit}.{}", axis.name);
-    let mut micros = Series::new(&name("microseconds"), "us", axis.against, Method::InProcess);
-    let mut ratio =
-        Series::new(&name("ratio_to_loop"), "thousand steps of the loop", axis.against, Method::InProcess);
-    for seed in 1..=effort.seeds {
-        for &size in axis.sizes {
-            let shape = (axis.shape)(size);
-            let unit = loop_unit();
-            let took = play(&mut shape.balancer(seed), &shape, Fleet::Answers, effort.requests, seed);
-            micros.push(size as f64, took * 1e6, seed);
-            ratio.push(size as f64, took / unit, seed);
-        }
-    }
-    [micros, ratio]
+    let names = ["microseconds", "ratio_to_loop"];
+    play_sizes(axis, Fleet::Answers, names.map(|name| format!("decision.{name}.{}", axis.name)), effort)
 }
 
-/// Microseconds a request while no server answers, so that most are refused.
+/// The same while no server answers, so that most are refused.
 fn refusals(effort: &Effort) -> [Series; 2] {
     let axis = &AXES[0];
-    let mut micros =
-        Series::new("decision.refusal_microseconds.servers", "us", axis.against, Method::InProcess);
-    let mut ratio = Series::new(
-        "decision.refusal_ratio_to_loop.servers",
-        "thousand steps of the loop",
-        axis.against,
-        Method::InProcess,
-    );
+    let names = ["refusal_microseconds", "refusal_ratio_to_loop"];
+    play_sizes(axis, Fleet::Silent, names.map(|name| format!("decision.{name}.{}", axis.name)), effort)
+}
+
+/// One play for each size and seed; `names`: of the series of microseconds and of ratios.
+fn play_sizes(axis: &Axis, fleet: Fleet, names: [String; 2], effort: &Effort) -> [Series; 2] {
+    let mut micros = Series::new(&names[0], "us", axis.against, Method::InProcess);
+    let mut ratio = Series::new(&names[1], "thousand steps of the loop", axis.against, Method::InProcess);
     for seed in 1..=effort.seeds {
         for &size in axis.sizes {
             let shape = (axis.shape)(size);
             let unit = loop_unit();
-            let took = play(&mut shape.balancer(seed), &shape, Fleet::Silent, effort.requests, seed);
+            let took = play(&mut shape.balancer(seed), &shape, fleet, effort.requests, seed);
             micros.push(size as f64, took * 1e6, seed);
             ratio.push(size as f64, took / unit, seed);
         }
--- a/lab/tests/capacity.rs
+++ b/lab/tests/capacity.rs
@@ -1,6 +1,10 @@
 //! `walkpick-lab capacity` as a program, and the page that is shipped.
 
-use std::path::{Path, PathBuf};
+mod common;
+
+use common::folder::Folder;
+use common::LAB;
+use std::path::Path;
 use std::process::{Command, Output};
 use walkpick_lab::slopes::SlopesFile;
 
@@ -8,32 +12,12 @@
 const SLOPES: &str = "docs/slopes.json";
 const PAGE: &str = "docs/CAPACITY.md";
 
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new(name: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("walkpick-lab-capacity-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&path).unwrap();
-        Self(path)
-    }
-
-    fn path(&self, name: &str) -> String {
-        self.0.join(name).display().to_string()
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 fn root() -> &'static Path {
     Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap()
 }
 
 fn capacity(arguments: &[&str]) -> Output {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_walkpick-lab"));
+    let mut command = Command::new(LAB);
     command.current_dir(root()).arg("capacity").args(arguments).output().unwrap()
 }
 
--- a/lab/tests/cli.rs
+++ b/lab/tests/cli.rs
@@ -1,27 +1,14 @@
 //! The commands of the lab's program, in simulated time.
 
+mod common;
+
+use common::folder::Folder;
+use common::LAB;
 use serde_json::Value;
-use std::path::PathBuf;
 use std::process::{Command, Output};
 
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new(name: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("walkpick-lab-cli-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&path).unwrap();
-        Self(path)
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 fn lab(arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_walkpick-lab")).args(arguments).output().unwrap()
+    Command::new(LAB).args(arguments).output().unwrap()
 }
 
 fn out(output: &Output) -> String {
--- a/lab/tests/hollow.rs
+++ b/lab/tests/hollow.rs
@@ -1,37 +1,12 @@
 //! Hollow nodes as processes on real sockets. Nothing here judges how fast a machine is: a late run is void, and says so.
 
+mod common;
+
+use common::folder::Folder;
+use common::process::{children, program_of, wait_for};
+use common::LAB;
 use serde_json::Value;
-use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
-use std::time::{Duration, Instant};
-
-const LAB: &str = env!("CARGO_BIN_EXE_walkpick-lab");
-const PATIENCE: Duration = Duration::from_secs(120);
-
-/// A folder that goes with its test.
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new(name: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("walkpick-hollow-test-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&path).unwrap();
-        Self(path)
-    }
-
-    fn path(&self, name: &str) -> String {
-        self.0.join(name).display().to_string()
-    }
-
-    fn json(&self, name: &str) -> Value {
-        serde_json::from_str(&std::fs::read_to_string(self.0.join(name)).unwrap()).unwrap()
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
 
 fn hollow(arguments: &[&str]) -> Command {
     let mut command = Command::new(LAB);
@@ -43,34 +18,6 @@
     format!("{}{}", String::from_utf8_lossy(&output.stdout), String::from_utf8_lossy(&output.stderr))
 }
 
-fn wait_for<T>(what: &str, mut found: impl FnMut() -> Option<T>) -> T {
-    let start = Instant::now();
-    loop {
-        if let Some(found) = found() {
-            return found;
-        }
-        assert!(start.elapsed() < PATIENCE, "no {what} within {PATIENCE:?}");
-        std::thread::sleep(Duration::from_millis(10));
-    }
-}
-
-/// Processes that a process has started.
-fn children(parent: &Child) -> Vec<u32> {
-    let path = format!("/proc/{0}/task", parent.id());
-    let tasks = std::fs::read_dir(path).into_iter().flatten().flatten();
-    let lists = tasks.filter_map(|task| std::fs::read_to_string(task.path().join("children")).ok());
-    lists
-        .flat_map(|list| list.split_whitespace().filter_map(|pid| pid.parse().ok()).collect::<Vec<_>>())
-        .collect()
-}
-
-/// Whether a process runs; one that has ended and was not waited for is gone all the same.
-fn runs(pid: u32) -> bool {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let state = status.lines().find_map(|line| line.strip_prefix("State:")).map(str::trim);
-    state.is_some_and(|state| !state.starts_with('Z'))
-}
-
 /// Whether a process holds sockets of hollow nodes.
 fn has_opened(pid: u32) -> bool {
     let files = std::fs::read_dir(format!("/proc/{pid}/fd")).into_iter().flatten().flatten();
@@ -135,7 +82,7 @@
     let (mut child, processes) = long_run(&folder);
     child.kill().unwrap();
     child.wait().unwrap();
-    wait_for("end of the processes", || processes.iter().all(|pid| !runs(*pid)).then_some(()));
+    wait_for("end of the processes", || processes.iter().all(|pid| program_of(*pid).is_none()).then_some(()));
 }
 
 #[test]
@@ -145,7 +92,9 @@
         let (mut child, processes) = long_run(&folder);
         assert!(Command::new("kill").args([signal, &child.id().to_string()]).status().unwrap().success());
         assert_eq!(child.wait().unwrap().code(), Some(1));
-        wait_for("end of the processes", || processes.iter().all(|pid| !runs(*pid)).then_some(()));
+        wait_for("end of the processes", || {
+            processes.iter().all(|pid| program_of(*pid).is_none()).then_some(())
+        });
         let run = &folder.json("out.json")["runs"][0];
         assert_eq!(run["interrupted"], true);
         assert_eq!(run["figures"], serde_json::json!({}));
@@ -160,7 +109,7 @@
     let output = child.wait_with_output().unwrap();
     assert_eq!(output.status.code(), Some(1));
     assert!(text(&output).contains("ended before it had told everything: signal: 9"), "{}", text(&output));
-    wait_for("end of the other one", || (!runs(processes[0])).then_some(()));
+    wait_for("end of the other one", || program_of(processes[0]).is_none().then_some(()));
 }
 
 #[test]
--- a/lab/tests/processes.rs
+++ b/lab/tests/processes.rs
@@ -1,39 +1,17 @@
 //! The lab with real processes on loopback sockets. What is waited for are events; limits only bound a hang. Nothing
 //! here judges how fast a machine is.
 
+mod common;
+
+use common::folder::Folder;
+use common::process::{children, program_of, wait_for};
+use common::LAB;
 use serde_json::Value;
-use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
-use std::time::{Duration, Instant};
+use std::process::{Command, Output, Stdio};
+use std::time::Duration;
 use walkpick_lab::real::process::Process;
 
-const LAB: &str = env!("CARGO_BIN_EXE_walkpick-lab");
-const PATIENCE: Duration = Duration::from_secs(120);
-
-/// A folder that goes with its test.
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new(name: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("walkpick-lab-test-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&path).unwrap();
-        Self(path)
-    }
-
-    fn write(&self, name: &str, text: &str) -> PathBuf {
-        let path = self.0.join(name);
-        std::fs::write(&path, text).unwrap();
-        path
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 /// A program of the tests. It lies there ready: one that a test has only just written may still be open for writing in a
 /// child of another test, and then it cannot be run.
 fn program(name: &str) -> PathBuf {
@@ -46,17 +24,6 @@
     path
 }
 
-fn wait_for<T>(what: &str, mut found: impl FnMut() -> Option<T>) -> T {
-    let start = Instant::now();
-    loop {
-        if let Some(found) = found() {
-            return found;
-        }
-        assert!(start.elapsed() < PATIENCE, "no {what} within {PATIENCE:?}");
-        std::thread::sleep(Duration::from_millis(10));
-    }
-}
-
 fn lab(folder: &Folder, experiment: &str, node: &Path) -> Command {
     let file = folder.write("experiment.toml", experiment);
     let mut command = Command::new(LAB);
@@ -183,12 +150,12 @@
     let nodes = wait_for("three nodes", || {
         let nodes = children(&child);
         // Each is the program by then, and no longer the hold.
-        (nodes.len() == 3 && nodes.iter().all(|pid| runs(*pid).as_deref() == Some("walkpick")))
+        (nodes.len() == 3 && nodes.iter().all(|pid| program_of(*pid).as_deref() == Some("walkpick")))
             .then_some(nodes)
     });
     child.kill().unwrap();
     child.wait().unwrap();
-    wait_for("end of the nodes", || nodes.iter().all(|pid| runs(*pid).is_none()).then_some(()));
+    wait_for("end of the nodes", || nodes.iter().all(|pid| program_of(*pid).is_none()).then_some(()));
 }
 
 #[test]
@@ -210,7 +177,7 @@
     let nodes = children(&child);
     assert!(Command::new("kill").arg("-INT").arg(child.id().to_string()).status().unwrap().success());
     assert_eq!(child.wait().unwrap().code(), Some(1));
-    assert!(nodes.iter().all(|pid| runs(*pid).is_none()));
+    assert!(nodes.iter().all(|pid| program_of(*pid).is_none()));
     let text = std::fs::read_to_string(folder.0.join("out.json")).unwrap();
     assert_eq!(serde_json::from_str::<Value>(&text).unwrap()["runs"][0]["interrupted"], true);
 }
@@ -256,22 +223,3 @@
     assert_eq!(output.status.code(), Some(1), "{error}");
     assert!(error.contains("300 nodes and 4000 servers need"), "{error}");
 }
-
-fn children(parent: &Child) -> Vec<u32> {
-    let path = format!("/proc/{0}/task", parent.id());
-    let tasks = std::fs::read_dir(path).into_iter().flatten().flatten();
-    let lists = tasks.filter_map(|task| std::fs::read_to_string(task.path().join("children")).ok());
-    lists
-        .flat_map(|list| list.split_whitespace().filter_map(|pid| pid.parse().ok()).collect::<Vec<_>>())
-        .collect()
-}
-
-/// The name of a process's program; none where it is gone.
-fn runs(pid: u32) -> Option<String> {
-    let file = std::fs::File::open(format!("/proc/{pid}/status")).ok()?;
-    let lines: Vec<_> = BufReader::new(file).lines().map_while(Result::ok).collect();
-    let value = |name: &str| lines.iter().find_map(|line| line.strip_prefix(name)).map(str::trim);
-    // One that has ended and was not waited for is gone all the same.
-    let gone = value("State:")?.starts_with('Z');
-    value("Name:").filter(|_| !gone).map(str::to_owned)
-}
--- a/lab/tests/slopes.rs
+++ b/lab/tests/slopes.rs
@@ -1,30 +1,13 @@
 //! `walkpick-lab slopes` as a program.
 
-use std::path::PathBuf;
-use std::process::{Command, Output};
-
-struct Folder(PathBuf);
-
-impl Folder {
-    fn new(name: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("walkpick-lab-slopes-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&path).unwrap();
-        Self(path)
-    }
-
-    fn path(&self, name: &str) -> String {
-        self.0.join(name).display().to_string()
-    }
-}
+mod common;
 
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
+use common::folder::Folder;
+use common::LAB;
+use std::process::{Command, Output};
 
 fn lab(arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_walkpick-lab")).args(arguments).output().unwrap()
+    Command::new(LAB).args(arguments).output().unwrap()
 }
 
 fn out(output: &Output) -> String {
