Membership: a suspect whose outcome was missed is asked directly

Cause: only the node whose probe failed ends a suspicion by time. Where the word that a suspect cleared itself was lost on all its ways, a node held it for suspected until it happened to probe it, minutes at 530 nodes. Change: a suspicion without an outcome for 12 s is told to the suspect as one's own are, and its answer clears it.

--- a/src/peers/membership/reviewing.rs
+++ b/src/peers/membership/reviewing.rs
@@ -89,6 +89,11 @@
     /// Tells those whom this node suspects, so that they can clear themselves.
     pub(super) fn tell_suspects(&mut self, now: Micros, out: &mut Vec<Output>) {
         let members = &self.members;
+        if members.counts().suspected > 0 {
+            for held in members.iter().filter(|held| held.standing == Standing::Suspected) {
+                self.own_suspicions.add_heard(now, &held.peer, held.word.incarnation, held.since);
+            }
+        }
         self.own_suspicions.retain(|peer| {
             let held = members.get(&peer.address).filter(|held| held.peer == *peer);
             held.is_some_and(|held| held.standing == Standing::Suspected)
--- a/src/peers/membership/suspicion.rs
+++ b/src/peers/membership/suspicion.rs
@@ -1,5 +1,5 @@
 //! Peers that this node itself suspects are told so directly, again and again, until they clear themselves or their time
-//! is over. A suspicion is news like any other and may wait or be lost; whom it concerns has to hear it in time, or it is
+//! is over. So are those whom others suspect, where no outcome is heard of for long. A suspicion is news like any other and may wait or be lost; whom it concerns has to hear it in time, or it is
 //! taken for gone although it lives. (Lifeguard's buddy system: Dadgar, Phillips, Currey, 2018.)
 
 use foca::{Header, Incarnation, Member, Message, State};
@@ -29,7 +29,11 @@
     told: Option<Micros>,
 }
 
-/// Those whom this node suspects by its own probes.
+/// Without an outcome for so long, the news that a suspect cleared itself was missed: only the node whose probe failed
+/// ends a suspicion by time, after some 10 s at 2,120 nodes.
+const OUTCOME_MISSED: Micros = 12_000_000;
+
+/// Those whom this node suspects by its own probes, or by the word of others for longer than a suspicion lasts.
 #[derive(Default)]
 pub(super) struct OwnSuspicions {
     by_address: BTreeMap<SocketAddr, Suspicion>,
@@ -125,6 +129,14 @@
         self.by_address.insert(peer.address, Suspicion { peer, incarnation, told: None });
     }
 
+    /// One is suspected by the word of others, since then.
+    pub fn add_heard(&mut self, now: Micros, peer: &Peer, incarnation: Incarnation, since: Micros) {
+        if now >= since + OUTCOME_MISSED {
+            let suspicion = || Suspicion { peer: peer.clone(), incarnation, told: None };
+            self.by_address.entry(peer.address).or_insert_with(suspicion);
+        }
+    }
+
     /// Its time is over.
     pub fn remove(&mut self, address: &SocketAddr) {
         self.by_address.remove(address);
--- a/src/peers/membership/tests.rs
+++ b/src/peers/membership/tests.rs
@@ -1,5 +1,5 @@
 use super::admission::DropReason;
-use super::inbound::InboundMessage;
+use super::inbound::{InboundMessage, MemberUpdate};
 use super::*;
 use crate::peers::envelope::{encode_extensions, Envelope, Extension, SCHEMA};
 
@@ -120,3 +120,34 @@
     receive_payload(&mut two, &postcard::to_stdvec(&undead).unwrap(), &mut Vec::new());
     assert_eq!(*two.me(), present);
 }
+
+// Guards against a living peer that is suspected here for as long as it is not probed, since the word that it cleared
+// itself was lost: only the node whose probe failed ends a suspicion by time.
+#[test]
+fn one_whose_suspicion_has_no_outcome_is_asked_and_clears_itself() {
+    let [mut one, mut two] = pair();
+    let mut out = Vec::new();
+    let suspect = foca::Member::new(two.me().clone(), 0, foca::State::Suspect);
+    one.apply_updates(
+        1,
+        vec![MemberUpdate::new(suspect.id().clone(), 0, foca::State::Suspect)],
+        false,
+        &mut out,
+    );
+    one.review(2, &mut out);
+    let standing = |one: &Membership| one.members.get(&address(2)).unwrap().standing;
+    assert_eq!(standing(&one), Standing::Suspected);
+    out.clear();
+    for (now, expected) in [(11_000_000, 0), (13_000_000, 1)] {
+        one.review(now, &mut out);
+        assert_eq!(datagrams(&mut out).len(), expected, "after {now} us");
+        one.own_suspicions.remove(&address(2));
+    }
+    one.review(14_000_000, &mut out);
+    while let Some((to, data)) = datagrams(&mut out).pop() {
+        let reader = if to == address(2) { &mut two } else { &mut one };
+        let _ = reader.receive(14_000_000, &Envelope::decode(&data).unwrap(), &mut out);
+    }
+    one.review(15_000_000, &mut out);
+    assert_eq!(standing(&one), Standing::Present);
+}
