Review: each case names its record.txt itself

Need: a reader of a case's folder could not see where record.txt is written; the shared stand-ins did it.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -139,4 +139,4 @@
         node.stop()
 
 
-run_case(HERE, case)
+run_case(HERE / "record.txt", case)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -259,9 +259,9 @@
     return "\r\n".join(lines).encode()
 
 
-def run_case(directory, case):
-    """Runs `case(record, trouble)` and ends with the exit code that it returns."""
-    record = Record(os.path.join(directory, "record.txt"))
+def run_case(record_path, case):
+    """Runs `case(record, trouble)`, writes its record, and ends with the exit code that it returns."""
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("case", f"with the disruption: {trouble}")
     try:
