Answers in small chunks no longer bring a node over its memory limit

Evidence: 20 answers of 64 KiB at once, old build: 2,704 KiB each in chunks of 1 byte, 800 at 4, 148 at 1,024.

Change: exchange reads the body with read_body. Test, seen failing before: answers_in_one_byte_chunks_keep_a_node_within_its_memory, 16 answers without end: 55,008 KiB (32,768 allowed).

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,9 +1,10 @@
 //! Connection pools to cache servers, with one request at a time on each connection, and attempts on them.
 
+use crate::net::body::{read_body, BodyError};
 use crate::net::stream::Stream;
 use crate::net::watched::{IoObserver, ObservedStream};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderName, HeaderValue, HOST};
@@ -424,16 +425,16 @@
         _ => None,
     };
     let load = text(&LOAD).map_or_else(LoadReport::default, |text| parse_load_report(text, '='));
-    match Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await {
+    match read_body(response.into_body(), MAX_BODY_BYTES).await {
         Ok(body) => {
-            let body = (status == Status::Ok).then(|| body.to_bytes());
+            let body = (status == Status::Ok).then_some(body);
             Ok((AttemptResult { status, cache_status, load, body }, true))
         }
-        Err(error) => match error.downcast::<hyper::Error>() {
-            Ok(error) => Err(*error),
-            // Larger than any valid answer: the request ran, but its answer is useless.
-            Err(_) => Ok((AttemptResult { status: Status::Failed, cache_status, load, body: None }, false)),
-        },
+        Err(BodyError::Incomplete(error)) => Err(error),
+        // Larger than any valid answer: the request ran, but its answer is useless.
+        Err(BodyError::TooLong(_)) => {
+            Ok((AttemptResult { status: Status::Failed, cache_status, load, body: None }, false))
+        }
     }
 }
 
--- a/tests/node_limits.rs
+++ b/tests/node_limits.rs
@@ -114,3 +114,19 @@
     assert_within_memory(&node);
     assert_eq!((node.read("read", 1).status(), server.request_count()), (200, 1));
 }
+
+// Guards against a node that is killed for its memory because each small chunk of an answer is kept on its own.
+#[test]
+fn answers_in_one_byte_chunks_keep_a_node_within_its_memory() {
+    // Without their last chunk the answers are all in memory until the deadline of their requests.
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let incomplete_answer = head.to_owned() + &one_byte_chunks(&"x".repeat(MAX_BODY_BYTES));
+    let server = CacheServer::start(move |_| Reaction::Respond(incomplete_answer.clone()));
+    let node = smallest_node(&server);
+    // A request that must not run twice is sent once only.
+    let get = |key: usize| node.client().request(&get_request("once", key as u64, 3_000)).status();
+    let statuses = at_the_same_time(LARGE_MESSAGES, get);
+    assert_within_memory(&node);
+    assert!(statuses.iter().all(|status| *status == 502), "{statuses:?}");
+    assert_eq!(server.request_count(), LARGE_MESSAGES);
+}
