Server lists in small chunks no longer bring a node over its memory limit

Cause: the same as of requests and answers in small chunks: request_list (src/net/discovery/call.rs) collected the pieces of a list with Limited::collect, which keeps each one.

Change: request_list reads the list with read_body; CallError names its errors by type.

--- a/src/net/discovery/call.rs
+++ b/src/net/discovery/call.rs
@@ -1,9 +1,10 @@
 //! One call of discovery, over an idle connection if there is one.
 
 use super::listing::Listing;
+use crate::net::body::{read_body, BodyError};
 use crate::net::stream::Stream;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::Empty;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
@@ -35,7 +36,7 @@
     #[error("{0}")]
     Uri(#[from] hyper::http::Error),
     #[error("{0}")]
-    Body(#[from] Box<dyn std::error::Error + Send + Sync>),
+    Body(#[from] BodyError),
     #[error("unexpected status {0}")]
     Status(StatusCode),
     #[error("invalid server list: {0}")]
@@ -114,6 +115,6 @@
         return Err(CallError::Status(response.status()));
     }
     on_answer_begins();
-    let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect().await?.to_bytes();
+    let body = read_body(response.into_body(), MAX_LIST_BYTES).await?;
     Ok(serde_json::from_slice(&body)?)
 }
--- a/tests/node_common/mod.rs
+++ b/tests/node_common/mod.rs
@@ -180,7 +180,7 @@
 /// The response of discovery and its version.
 struct List {
     seq: u64,
-    body: String,
+    response: String,
 }
 
 /// A discovery service that answers watches and records the requested paths in order.
@@ -196,7 +196,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let body = json!({"seq": 1, "whole": true, "hosts": hosts}).to_string();
-        let list = Arc::new((Mutex::new(List { seq: 1, body }), Condvar::new()));
+        let response = http_response("200 OK", "", &body);
+        let list = Arc::new((Mutex::new(List { seq: 1, response }), Condvar::new()));
         let paths: Arc<Mutex<Vec<String>>> = Arc::default();
         let (shared_list, shared_paths) = (list.clone(), paths.clone());
         thread::spawn(move || {
@@ -216,7 +217,7 @@
                             .wait_timeout_while(list.lock().unwrap(), WAIT_TIMEOUT, |list| list.seq <= after)
                             .unwrap()
                             .0;
-                        if stream.write_all(http_response("200 OK", "", &list.body).as_bytes()).is_err() {
+                        if stream.write_all(list.response.as_bytes()).is_err() {
                             return;
                         }
                     }
@@ -228,14 +229,29 @@
 
     /// Publishes a whole list, or changes, as the next version.
     pub fn publish(&self, whole: bool, hosts: &[Value]) {
-        let seq = self.list.0.lock().unwrap().seq + 1;
-        self.publish_text(json!({"seq": seq, "whole": whole, "hosts": hosts}).to_string());
+        self.publish_text(self.next_list(whole, hosts).to_string());
+    }
+
+    /// Publishes a whole list, or changes, as the next version, indented and in chunks of one byte.
+    pub fn publish_in_one_byte_chunks(&self, whole: bool, hosts: &[Value]) {
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let list = format!("{:#}", self.next_list(whole, hosts));
+        self.publish_response(head.to_owned() + &one_byte_chunks(&list) + LAST_CHUNK);
     }
 
     /// Answers open watches, and calls until the next update, with this text as the body.
     pub fn publish_text(&self, body: String) {
+        self.publish_response(http_response("200 OK", "", &body));
+    }
+
+    fn next_list(&self, whole: bool, hosts: &[Value]) -> Value {
+        let seq = self.list.0.lock().unwrap().seq + 1;
+        json!({"seq": seq, "whole": whole, "hosts": hosts})
+    }
+
+    fn publish_response(&self, response: String) {
         let mut list = self.list.0.lock().unwrap();
-        *list = List { seq: list.seq + 1, body };
+        *list = List { seq: list.seq + 1, response };
         self.list.1.notify_all();
     }
 
--- a/tests/node_limits.rs
+++ b/tests/node_limits.rs
@@ -10,6 +10,8 @@
 use std::time::{Duration, Instant};
 
 const SERVERS: usize = 1_024;
+/// The largest number of cache servers that the platform has.
+const MAX_SERVERS: usize = 3_200;
 /// The minimum that the platform gives, in the units of /proc.
 const MEMORY_KB: u64 = 32 << 10;
 const DESCRIPTORS: usize = 256;
@@ -37,10 +39,13 @@
 /// A node with the minimum limits and this cache server.
 fn smallest_node(server: &CacheServer) -> Node {
     let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
-    let mut config = config(discovery.address);
+    Node::ready(&minimum_limits(config(discovery.address)))
+}
+
+fn minimum_limits(mut config: Value) -> Value {
     config["limits"]["sockets"] = DESCRIPTORS.into();
     config["limits"]["memory_mb"] = 32.into();
-    Node::ready(&config)
+    config
 }
 
 /// Calls `client` with each number below `count`, on a thread each.
@@ -62,9 +67,7 @@
 fn a_node_with_minimum_limits_serves_with_1024_servers_and_nodes() {
     let (old, new) = (CacheServer::serving("old"), CacheServer::serving("new"));
     let discovery = Discovery::start(&entries(&old, "ready"));
-    let mut config = fast_shutdown_config(discovery.address);
-    config["limits"]["sockets"] = DESCRIPTORS.into();
-    config["limits"]["memory_mb"] = 32.into();
+    let mut config = minimum_limits(fast_shutdown_config(discovery.address));
     config["settings"]["balancers"] = SERVERS.into();
     config["known"]["hosts"] = entries(&old, "ready").into();
     let node = Node::ready(&config);
@@ -130,3 +133,21 @@
     assert!(statuses.iter().all(|status| *status == 502), "{statuses:?}");
     assert_eq!(server.request_count(), LARGE_MESSAGES);
 }
+
+// Guards against a node that is killed for its memory because each small chunk of a server list is kept on its own.
+#[test]
+fn a_list_in_one_byte_chunks_keeps_a_node_within_its_memory() {
+    let (old, new) = (CacheServer::serving("old"), CacheServer::serving("new"));
+    let list_of = |server: &CacheServer| -> Vec<_> {
+        (0..MAX_SERVERS).map(|i| server.entry(&format!("s-{i:04}"), "ready")).collect()
+    };
+    let discovery = Discovery::start(&list_of(&old));
+    let mut config = minimum_limits(config(discovery.address));
+    config["known"]["hosts"] = list_of(&old).into();
+    let node = Node::ready(&config);
+    discovery.wait_until_applied(1);
+    discovery.publish_in_one_byte_chunks(true, &list_of(&new));
+    discovery.wait_until_applied(2);
+    assert_eq!(node.read("read", 1).body, b"new");
+    assert_within_memory(&node);
+}
