What a cache server sends at once no longer brings a node over its memory limit

Cause: connections to cache servers (Upstream::connection, src/net/upstream.rs) had hyper's default limit of 408 KiB on the read buffer, which grows with what the peer has sent, framing included; clients' connections have had 16 KiB.

Change: the limit is 32 KiB, twice the longest head of a client's request. A forwarded head is shorter than that, so hyper still buffers it together with its body, on which the mark of a request that was written completely relies. Discovery keeps hyper's limit: a node has at most four calls out.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -4,7 +4,9 @@
 use crate::net::lifecycle::{LagMonitor, Stage};
 use crate::net::read_ahead::{ReadAhead, SharedStream};
 use crate::net::stream::Stream;
-use crate::net::upstream::{UpstreamRequest, IDEMPOTENCY_KEY, MAX_BODY_BYTES, REQ_DEADLINE, REQ_ID};
+use crate::net::upstream::{
+    UpstreamRequest, IDEMPOTENCY_KEY, MAX_BODY_BYTES, MAX_REQUEST_HEAD_BYTES, REQ_DEADLINE, REQ_ID,
+};
 use crate::net::watched::{IoObserver, ObservedStream};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -47,8 +49,6 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// A first request read this soon after its connection was accepted may have been sent together with it.
 const SENT_WITH_CONNECT_WINDOW: Duration = Duration::from_millis(50);
-/// Size limit of hyper's read buffer, so that a flood of heads cannot exhaust the memory.
-const MAX_READ_BUFFER_BYTES: usize = 16 << 10;
 /// Backoff after a failed accept; it starts at the minimum and doubles up to the maximum. It starts small
 /// since an aborted connection says nothing about the next one, which has a client waiting. It is needed
 /// since an immediate retry without a free file descriptor would fail again and spin.
@@ -441,7 +441,7 @@
     let (mut stage, mut exit_stage) = (frontend.stage.clone(), frontend.stage.clone());
     let conn = Rc::new(ClientConnection::new(frontend.clone(), arrival));
     let mut http = http1::Builder::new();
-    http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(MAX_READ_BUFFER_BYTES);
+    http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(MAX_REQUEST_HEAD_BYTES);
     let (stream, shared) = ReadAhead::new(stream);
     let service = service_fn(async |request| {
         let deadline = conn.head_received();
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -26,6 +26,8 @@
 
 /// Maximum size of a request or response body.
 pub const MAX_BODY_BYTES: usize = 64 << 10;
+/// Maximum size of the head of a client's request, from which the head of a forwarded one is made.
+pub const MAX_REQUEST_HEAD_BYTES: usize = 16 << 10;
 pub const REQ_ID: HeaderName = HeaderName::from_static("req-id");
 pub const REQ_DEADLINE: HeaderName = HeaderName::from_static("req-deadline-ms");
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
@@ -33,6 +35,9 @@
 const LOAD: HeaderName = HeaderName::from_static("srv-load");
 const CACHE: HeaderName = HeaderName::from_static("srv-cache");
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Size limit of hyper's buffers of a connection: a server chooses how much it sends at once. A request's head is
+/// shorter, so it is always buffered together with its body, on which [`WriteProgress`] relies.
+const MAX_BUFFER_BYTES: usize = 2 * MAX_REQUEST_HEAD_BYTES;
 
 /// How long a connection stays idle after an answer before it is reused. A duplicate answer may follow some
 /// milliseconds after the first and would be taken for the answer to the next request. By the end of this
@@ -351,9 +356,11 @@
         let connecting = async {
             let stream = Stream::from(TcpStream::connect(pool.address.get()).await?);
             let written = Rc::new(WriteProgress::default());
+            let mut http = http1::Builder::new();
+            http.max_buf_size(MAX_BUFFER_BYTES);
             let observed = ObservedStream { stream, observer: written.clone() };
             let (sender, connection) =
-                http1::handshake(TokioIo::new(observed)).await.map_err(io::Error::other)?;
+                http.handshake(TokioIo::new(observed)).await.map_err(io::Error::other)?;
             let task = tokio::task::spawn_local(async move {
                 // An error shows in the attempt on this connection, or when it is taken from the pool.
                 let _ = connection.await;
--- a/tests/node_limits.rs
+++ b/tests/node_limits.rs
@@ -10,6 +10,8 @@
 use std::time::{Duration, Instant};
 
 const SERVERS: usize = 1_024;
+/// Servers enough for a node to have an attempt out for each of its clients.
+const ANSWERING_SERVERS: usize = 24;
 /// The largest number of cache servers that the platform has.
 const MAX_SERVERS: usize = 3_200;
 /// The minimum that the platform gives, in the units of /proc.
@@ -151,3 +153,25 @@
     assert_eq!(node.read("read", 1).body, b"new");
     assert_within_memory(&node);
 }
+
+// Guards against a node that is killed for its memory because what a server sends at once is read into one large buffer:
+// the chunks of an answer with their framing, or a head.
+#[test]
+fn answers_that_are_long_on_the_wire_keep_a_node_within_its_memory() {
+    let chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned()
+        + &one_byte_chunks(&"x".repeat(MAX_BODY_BYTES));
+    let head = "HTTP/1.1 200 OK\r\nSrv-Note: ".to_owned() + &"x".repeat(chunks.len());
+    for incomplete_answer in [chunks, head] {
+        let server = CacheServer::start(move |_| Reaction::Respond(incomplete_answer.clone()));
+        let names = (0..ANSWERING_SERVERS).map(|i| format!("s-{i}"));
+        let discovery = Discovery::start(&names.map(|name| server.entry(&name, "ready")).collect::<Vec<_>>());
+        let node = Node::ready(&minimum_limits(config(discovery.address)));
+        let get = |key: usize| {
+            let key = (key as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            node.client().request(&get_request("once", key, 3_000)).status()
+        };
+        let statuses = at_the_same_time(DESCRIPTORS / 3, get);
+        assert_within_memory(&node);
+        assert!(!statuses.contains(&200), "{statuses:?}");
+    }
+}
