Values that a list holds beside its entries' members no longer occupy memory

Cause: read_hosts (src/net/discovery/listing.rs) read a list into a Vec<Value>: 32 bytes for a value of two bytes, whether anything uses it or not.

Change: entries are read one after the other, each as its text, of which the known members are taken; an invalid entry is read once more for its name alone, as before. More than 16,384 entries (the largest fleet has 3,200 servers) are an invalid list: 8 MiB hold 645,000 of the shortest, at over 200 bytes each. Numbers out of range and strings with lone surrogates now invalidate their entry and not the list. A member that an entry has twice now makes it invalid; the last one held before.

Tests: a_list_of_many_small_values_keeps_a_node_within_its_memory, seen failing before: 77,436 KiB (32,768 allowed); an_invalid_entry_is_draining_or_ignored_and_hides_no_other and the_number_of_entries_is_limited guard the new code; not run on the old.

--- a/src/net/discovery/listing.rs
+++ b/src/net/discovery/listing.rs
@@ -1,11 +1,17 @@
 //! Parses discovery's answers into the module's types.
 
+use serde::de::{Error, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer};
-use serde_json::Value;
+use serde_json::value::RawValue;
+use std::fmt;
 use std::net::SocketAddr;
 use tracing::warn;
 use walkpick::{Availability, ServerEntry, Timestamp};
 
+/// Maximum number of entries in an answer: five times as many as the largest fleet has servers. The limit on the
+/// answer's size does not bound the memory, since an entry of a few bytes occupies some hundred.
+const MAX_ENTRIES: usize = 16_384;
+
 /// Discovery's answer: the full list, or the changes.
 #[derive(Debug, Default, Deserialize)]
 pub struct Listing {
@@ -15,9 +21,33 @@
     pub hosts: Vec<Host>,
 }
 
-/// An invalid entry must not hide the others: the node would miss a drain.
 fn read_hosts<'de, D: Deserializer<'de>>(list: D) -> Result<Vec<Host>, D::Error> {
-    Ok(Vec::<Value>::deserialize(list)?.into_iter().filter_map(Host::parse).collect())
+    list.deserialize_seq(HostsVisitor)
+}
+
+/// Reads entries one after the other, each as its text first: an invalid entry must not hide the others, since the
+/// node would miss a drain, and what an entry holds beside the known members must not occupy any memory.
+struct HostsVisitor;
+
+impl<'de> Visitor<'de> for HostsVisitor {
+    type Value = Vec<Host>;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a list of servers")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut entries: A) -> Result<Vec<Host>, A::Error> {
+        let mut hosts = Vec::new();
+        let mut count = 0;
+        while let Some(entry) = entries.next_element::<Box<RawValue>>()? {
+            count += 1;
+            if count > MAX_ENTRIES {
+                return Err(A::Error::custom(format_args!("more than {MAX_ENTRIES} entries")));
+            }
+            hosts.extend(Host::parse(entry.get()));
+        }
+        Ok(hosts)
+    }
 }
 
 /// One cache server in the list.
@@ -33,16 +63,22 @@
     born_ms: Option<u64>,
 }
 
+/// An entry of which only the name is read.
+#[derive(Deserialize)]
+struct NamedEntry {
+    host: String,
+}
+
 impl Host {
     /// Of an invalid entry only the name is used: that server gets no new work.
-    fn parse(entry: Value) -> Option<Self> {
-        let name = entry.get("host").and_then(Value::as_str).map(str::to_owned);
-        match serde_json::from_value(entry) {
+    fn parse(entry: &str) -> Option<Self> {
+        match serde_json::from_str(entry) {
             Ok(host) => Some(host),
             Err(error) => {
-                let server = name.as_deref().unwrap_or("(unnamed)");
+                let named = serde_json::from_str::<NamedEntry>(entry).ok();
+                let server = named.as_ref().map_or("(unnamed)", |named| &named.host);
                 warn!(target: "discovery", server, %error, "invalid entry: its server gets no new requests");
-                Some(Self { host: name?, health: "draining".to_owned(), ..Self::default() })
+                Some(Self { host: named?.host, health: "draining".to_owned(), ..Self::default() })
             }
         }
     }
@@ -71,3 +107,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/node_limits.rs
+++ b/tests/node_limits.rs
@@ -175,3 +175,18 @@
         assert!(!statuses.contains(&200), "{statuses:?}");
     }
 }
+
+// Guards against a node that is killed for its memory because it keeps each value in a list, also those that it ignores.
+#[test]
+fn a_list_of_many_small_values_keeps_a_node_within_its_memory() {
+    let (old, new) = (CacheServer::serving("old"), CacheServer::serving("new"));
+    let discovery = Discovery::start(&[old.entry("s-1", "ready")]);
+    let node = Node::ready(&minimum_limits(config(discovery.address)));
+    discovery.wait_until_applied(1);
+    let mut entry = new.entry("s-1", "ready");
+    entry["notes"] = vec![0; 2 << 20].into();
+    discovery.publish(true, &[entry]);
+    discovery.wait_until_applied(2);
+    assert_eq!(node.read("read", 1).body, b"new");
+    assert_within_memory(&node);
+}
