A body's buffer has no more room than its length, or its bound

Cause: the buffer that took the pieces of a body doubled, so that one of 64 KiB could have room for twice as much. Change: the room for an announced length is taken at once, other bodies double up to their bound.

--- a/src/net/body.rs
+++ b/src/net/body.rs
@@ -1,6 +1,6 @@
 //! Reads the bodies of HTTP messages.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use std::pin::pin;
@@ -27,15 +27,27 @@
     B: Body<Data = Bytes, Error = hyper::Error>,
 {
     let mut body = pin!(body);
-    let mut bytes = BytesMut::new();
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let mut bytes = Vec::with_capacity(announced.min(max_bytes));
     while let Some(frame) = body.frame().await {
         let Ok(piece) = frame?.into_data() else { continue };
         if piece.len() > max_bytes - bytes.len() {
             return Err(BodyError::TooLong(max_bytes));
         }
+        grow(&mut bytes, piece.len(), max_bytes);
         bytes.extend_from_slice(&piece);
     }
-    Ok(bytes.freeze())
+    Ok(bytes.into())
+}
+
+/// Makes room for `additional` bytes. The capacity at least doubles, so that few pieces cause a copy, but it never
+/// exceeds `max_bytes`.
+fn grow(bytes: &mut Vec<u8>, additional: usize, max_bytes: usize) {
+    let needed = bytes.len() + additional;
+    if needed > bytes.capacity() {
+        let capacity = needed.max(2 * bytes.capacity()).min(max_bytes);
+        bytes.reserve_exact(capacity - bytes.len());
+    }
 }
 
 #[cfg(test)]
--- a/src/net/body/tests.rs
+++ b/src/net/body/tests.rs
@@ -87,3 +87,17 @@
     }
     assert_eq!(read_body(OneBytePieces::new(0), 0).await.unwrap(), Bytes::new());
 }
+
+// Guards against a buffer that doubles past the bound of a body, or that grows by a copy for each piece.
+#[test]
+fn a_buffer_grows_in_few_steps_and_no_further_than_the_bound() {
+    const MAX_BYTES: usize = 1_000;
+    let (mut bytes, mut capacities) = (Vec::new(), Vec::new());
+    for _ in 0..MAX_BYTES {
+        grow(&mut bytes, 1, MAX_BYTES);
+        bytes.push(b'x');
+        capacities.push(bytes.capacity());
+    }
+    capacities.dedup();
+    assert_eq!(capacities, [1, 2, 4, 8, 16, 32, 64, 128, 256, 512, MAX_BYTES]);
+}
