Server: accepting, a connection's state and requests are modules of their own

Change: moved as they stood, with the visibility that this needs and doc comments on what is now used from another module.

--- /dev/null
+++ b/src/net/server/accepting.rs
@@ -0,0 +1,173 @@
+//! Accepts clients' connections, within the limit on them, and tells how long each may have waited.
+
+use super::connection::IdleConnections;
+use super::{serve_connection, Frontend};
+use crate::net::lifecycle::Stage;
+use crate::net::stream::Stream;
+use std::future::poll_fn;
+use std::io;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{sleep, Instant};
+use tracing::warn;
+
+/// A first request read this soon after its connection was accepted may have been sent together with it.
+const SENT_WITH_CONNECT_WINDOW: Duration = Duration::from_millis(50);
+/// Backoff after a failed accept; it starts at the minimum and doubles up to the maximum. It starts small
+/// since an aborted connection says nothing about the next one, which has a client waiting. It is needed
+/// since an immediate retry without a free file descriptor would fail again and spin.
+const MIN_ACCEPT_BACKOFF: Duration = Duration::from_millis(1);
+const MAX_ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+
+/// Accepts and serves connections until the node closes, and returns when every connection has ended. At most
+/// `max_connections` are open; further ones wait in the backlog.
+pub async fn serve(listener: TcpListener, frontend: Rc<Frontend>, max_connections: usize) {
+    let slots = Arc::new(Semaphore::new(max_connections));
+    let mut stage = frontend.stage.clone();
+    let mut closing = pin!(stage.wait_for(|stage| *stage >= Stage::Closing));
+    let mut failures = AcceptFailures::default();
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            accepted = accept(&listener, &slots, &frontend.idle, &mut failures) => accepted,
+            _ = &mut closing => break,
+        };
+        match accepted {
+            Ok((stream, slot)) => spawn_connection(stream, slot, failures.record_accept(), &frontend),
+            Err(error) => failures.back_off(&error).await,
+        }
+    }
+    let mut stage_exiting = frontend.stage.clone();
+    tokio::select! {
+        biased;
+        accepted = accept_backlog(listener, &slots, &frontend) => if let Err(error) = accepted {
+            warn!(target: "clients", %error, "cannot accept the connections in the backlog");
+        },
+        _ = stage_exiting.wait_for(|stage| *stage == Stage::Exiting) => {}
+    }
+    // All permits are free once the last connection has ended. The semaphore is never closed.
+    let _ = slots.acquire_many(max_connections as u32).await;
+}
+
+/// Accepts the connections in the backlog: a request on them counts as accepted. It calls the system
+/// directly, since the runtime only knows the readiness it polled last, and an overloaded node polls rarely.
+async fn accept_backlog(
+    listener: TcpListener,
+    slots: &Arc<Semaphore>,
+    frontend: &Rc<Frontend>,
+) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    let mut failures = AcceptFailures::default();
+    loop {
+        let slot = slots.clone().acquire_owned().await.map_err(io::Error::other)?;
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                spawn_connection(TcpStream::from_std(stream)?, slot, failures.record_accept(), frontend);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            // If this never succeeds, the caller ends the loop.
+            Err(error) => failures.back_off(&error).await,
+        }
+    }
+}
+
+/// Failed accepts, and since when connections may have been waiting because of them.
+#[derive(Default)]
+struct AcceptFailures {
+    consecutive: u32,
+    /// The first failure since the backlog was last empty.
+    failing_since: Option<Instant>,
+}
+
+impl AcceptFailures {
+    async fn back_off(&mut self, error: &io::Error) {
+        self.failing_since.get_or_insert_with(Instant::now);
+        let backoff =
+            MIN_ACCEPT_BACKOFF.saturating_mul(1 << self.consecutive.min(10)).min(MAX_ACCEPT_BACKOFF);
+        self.consecutive = self.consecutive.saturating_add(1);
+        warn!(target: "clients", %error, in_a_row = self.consecutive, "cannot accept a connection");
+        sleep(backoff).await;
+    }
+
+    /// Notes that a connection was accepted.
+    fn record_accept(&mut self) -> Arrival {
+        self.consecutive = 0;
+        let accepted_at = Instant::now();
+        Arrival { accepted_at, waiting_since: self.failing_since.unwrap_or(accepted_at) }
+    }
+
+    /// Notes that the backlog is empty.
+    fn record_empty_backlog(&mut self) {
+        self.failing_since = None;
+    }
+}
+
+/// When a connection arrived.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    accepted_at: Instant,
+    /// It may have been waiting since then because accepts failed.
+    pub waiting_since: Instant,
+}
+
+impl Arrival {
+    /// A connection that arrived just now.
+    #[cfg(test)]
+    pub fn now() -> Self {
+        let now = Instant::now();
+        Self { accepted_at: now, waiting_since: now }
+    }
+
+    /// How long a first request that is read completely at `now` may have waited in the accept backlog.
+    pub fn time_in_backlog(&self, now: Instant) -> Duration {
+        let sent_with_connect = now.saturating_duration_since(self.accepted_at) <= SENT_WITH_CONNECT_WINDOW;
+        if sent_with_connect {
+            self.accepted_at - self.waiting_since
+        } else {
+            Duration::ZERO
+        }
+    }
+}
+
+/// Serves a connection in a task of its own, which keeps its slot.
+fn spawn_connection(
+    stream: TcpStream,
+    slot: OwnedSemaphorePermit,
+    arrival: Arrival,
+    frontend: &Rc<Frontend>,
+) {
+    let frontend = frontend.clone();
+    tokio::task::spawn_local(async move {
+        serve_connection(Stream::from(stream), arrival, frontend).await;
+        drop(slot);
+    });
+}
+
+/// Waits for a slot and accepts a connection.
+async fn accept(
+    listener: &TcpListener,
+    slots: &Arc<Semaphore>,
+    idle: &IdleConnections,
+    failures: &mut AcceptFailures,
+) -> io::Result<(TcpStream, OwnedSemaphorePermit)> {
+    if slots.available_permits() == 0 {
+        // Clients keep their connections open: idle ones would keep all others out when the limit is reached,
+        // and the system accepts requests on connections that are still in the backlog.
+        idle.make_room();
+    }
+    let slot = slots.clone().acquire_owned().await.map_err(io::Error::other)?;
+    let accepting = poll_fn(|cx| {
+        let accepted = listener.poll_accept(cx);
+        if accepted.is_pending() {
+            failures.record_empty_backlog();
+        }
+        accepted
+    });
+    let (stream, _) = accepting.await?;
+    Ok((stream, slot))
+}
--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -1,6 +1,10 @@
+use super::connection::REQUEST_TIMEOUT;
 use super::*;
+use std::cell::RefCell;
 use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
+use tokio::time::{sleep, sleep_until, timeout_at};
 use walkpick::Class;
 
 const PARTIAL_HEAD: &[u8] = b"GET /api/1 HTTP/1.1\r\nReq-Id: 1\r\n";
