Log the memory in use against its limit, and why a request is rejected

Need: the report of nodes over their memory limit has no line on how much memory a node used, how many connections it held, and which limit it worked under; a request that is answered with 4xx left no line either. The node did not read limits.memory_mb at all. Change: limits.memory_mb is read (32 MiB if it is missing, the least that the platform gives); each further eighth of the limit is logged with the connections held, and the state at the end of a shutdown; why a request is rejected is a type, logged with its status.

--- a/src/main.rs
+++ b/src/main.rs
@@ -14,6 +14,7 @@
     pub mod lifecycle;
     pub mod peers;
     pub mod read_ahead;
+    pub mod resources;
     pub mod server;
     pub mod stream;
     pub mod transient;
@@ -29,6 +30,7 @@
 use net::driver::{Driver, Input};
 use net::lifecycle::{LagMonitor, ShutdownPlan, Stage};
 use net::peers::PeerSocket;
+use net::resources::ResourceMonitor;
 use net::server::{serve, Frontend};
 use net::transient::{retry, retry_while, RELOAD_TIMEOUT, STARTUP_TIMEOUT};
 use net::upstream::Upstream;
@@ -93,7 +95,8 @@
     let config =
         retry(STARTUP_TIMEOUT, "reading the configuration", || config::load(&path, variable)).await?;
     let (max_connections, longest_deadline) = (config.max_connections(), config.longest_deadline());
-    let Config { name, listen, discovery, seed, known, settings, delivery, section, .. } = config;
+    let Config { name, listen, discovery, seed, memory_bytes, known, settings, delivery, section, .. } =
+        config;
     let limiter = log::start(&section.log);
     let listener = retry(STARTUP_TIMEOUT, "listening for clients", || listen_on(listen)).await;
     let listener = listener.map_err(|error| format!("cannot listen on {listen}: {error}"))?;
@@ -128,6 +131,8 @@
     let publish = move |listing| lists.send(Input::Servers(listing)).is_ok();
     let discovery_client = DiscoveryClient::new(discovery, subscription, publish);
 
+    let resources = Rc::new(ResourceMonitor::new(memory_bytes, frontend.clone(), upstream.clone()));
+    spawn_local(resources.clone().run());
     spawn_local(upstream.clone().sweep());
     spawn_local(discovery_client.run());
     spawn_local(limiter.clone().run());
@@ -175,6 +180,7 @@
         last_answer_before_kill_ms = spare_ms,
         "node {name} is gone"
     );
+    resources.report();
     limiter.report();
     Ok(())
 }
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -23,6 +23,8 @@
     pub seed: u64,
     /// Number of file descriptors that the process may use.
     pub sockets: usize,
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: u64,
     /// The last known list of cache servers.
     pub known: Listing,
     pub settings: Settings,
@@ -37,6 +39,10 @@
 /// With fewer descriptors, the runtime's own and one connection in each direction would not fit.
 const MIN_SOCKETS: u64 = 32;
 
+/// The least memory that the platform gives, in MiB; assumed if the file does not say.
+const DEFAULT_MEMORY_MIB: f64 = 32.0;
+const BYTES_PER_MIB: f64 = 1_048_576.0;
+
 /// Descriptors reserved for the runtime, the listener, discovery and the standard streams.
 const RESERVED_SOCKETS: usize = 24;
 
@@ -112,6 +118,7 @@
         read.or_else(|| report_fault(file, "seed", "a 64-bit hexadecimal number", faults))
     });
     let sockets = sockets(file, faults);
+    let memory_bytes = memory_bytes(file, faults);
     let known = match file.get("known") {
         None => Some(Listing::default()),
         Some(known) => serde_json::from_value(known.clone()).ok().or_else(|| {
@@ -134,6 +141,7 @@
         discovery: discovery?,
         seed: seed?,
         sockets: sockets?,
+        memory_bytes: memory_bytes?,
         known: known?,
         settings: Settings { must_subscribe: false, ..settings },
         delivery,
@@ -193,6 +201,16 @@
     })
 }
 
+fn memory_bytes(file: &Map<String, Value>, faults: &mut Vec<Fault>) -> Option<u64> {
+    let memory = file.get("limits").and_then(|limits| limits.get("memory_mb"));
+    let Some(memory) = memory else { return Some((DEFAULT_MEMORY_MIB * BYTES_PER_MIB) as u64) };
+    let read = memory.as_f64().filter(|mib| *mib >= 1.0).map(|mib| (mib * BYTES_PER_MIB) as u64);
+    read.or_else(|| {
+        faults.push(Fault::at("limits.memory_mb", Some(memory), "a number of MiB of at least 1"));
+        None
+    })
+}
+
 fn settings(file: &Map<String, Value>, faults: &mut Vec<Fault>) -> Option<Settings> {
     let Some(settings) = file.get("settings").filter(|settings| settings.is_object()) else {
         return report_fault(file, "settings", "an object", faults);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -2,6 +2,7 @@
 
 mod accepting;
 mod connection;
+mod rejection;
 mod requests;
 
 pub use accepting::serve;
@@ -95,6 +96,8 @@
     pub next_number: Cell<u64>,
     /// When the last answer was given.
     pub last_answer_at: Cell<Option<Instant>>,
+    /// Number of clients' connections that are open.
+    pub open_connections: Cell<usize>,
     idle: IdleConnections,
 }
 
@@ -119,6 +122,7 @@
             events,
             next_number: Cell::new(0),
             last_answer_at: Cell::default(),
+            open_connections: Cell::default(),
             idle: IdleConnections::default(),
         }
     }
--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -1,6 +1,7 @@
 //! The state of a client's connection, and which connections are idle.
 
 use super::accepting::Arrival;
+use super::rejection::Rejection;
 use super::Frontend;
 use crate::net::watched::IoObserver;
 use std::cell::{Cell, RefCell};
@@ -83,6 +84,7 @@
         let (close_requested, number, requests, closing) = Default::default();
         let (opened_at, phase) = (arrival.waiting_since, Cell::new(Phase::Idle));
         let conn = Self { frontend, close_requested, number, arrival, opened_at, requests, phase, closing };
+        conn.frontend.open_connections.set(conn.frontend.open_connections.get() + 1);
         conn.mark_idle();
         conn
     }
@@ -134,6 +136,14 @@
         }
     }
 
+    /// Logs why a request is answered without being forwarded.
+    pub fn log_rejection(&self, rejection: Rejection) {
+        let (phase, requests) = (self.phase.get(), self.requests.get());
+        let age_ms = self.opened_at.elapsed().as_millis() as u64;
+        let status = rejection.status().as_u16();
+        info!(target: "clients", %rejection, status, ?phase, requests, age_ms, "client request rejected");
+    }
+
     /// How long the request that is read completely at `now` may have waited in the accept backlog.
     pub fn time_in_backlog(&self, now: Instant) -> Duration {
         if self.requests.get() == 1 {
@@ -157,5 +167,6 @@
 impl Drop for ClientConnection {
     fn drop(&mut self) {
         self.unregister_idle();
+        self.frontend.open_connections.set(self.frontend.open_connections.get() - 1);
     }
 }
--- a/src/net/server/requests.rs
+++ b/src/net/server/requests.rs
@@ -1,6 +1,7 @@
 //! Reads clients' requests, passes them to the driver and turns its answers into responses.
 
 use super::connection::{ClientConnection, Phase};
+use super::rejection::Rejection;
 use super::{Answer, ClientEvent, ClientRequest, EventSink, Frontend};
 use crate::net::body::{read_body, BodyError};
 use crate::net::lifecycle::Stage;
@@ -8,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderName, HeaderValue, ALLOW, CONNECTION, RETRY_AFTER};
+use hyper::header::{HeaderName, HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use std::cell::Cell;
@@ -49,8 +50,10 @@
     conn: &ClientConnection,
     deadline: Instant,
 ) -> Reply {
-    let response =
-        handle_request(frontend, request, conn, deadline).await.unwrap_or_else(|rejection| rejection);
+    let response = handle_request(frontend, request, conn, deadline).await.unwrap_or_else(|rejection| {
+        conn.log_rejection(rejection);
+        rejection.response()
+    });
     frontend.last_answer_at.set(Some(Instant::now()));
     response
 }
@@ -61,58 +64,55 @@
     tokens.is_some_and(|tokens| tokens.split(',').any(|token| token.trim().eq_ignore_ascii_case("close")))
 }
 
-type Reply = Response<Full<Bytes>>;
+/// A response to a client.
+pub type Reply = Response<Full<Bytes>>;
 
 async fn handle_request(
     frontend: &Frontend,
     request: Request<Incoming>,
     conn: &ClientConnection,
     deadline: Instant,
-) -> Result<Reply, Reply> {
+) -> Result<Reply, Rejection> {
     // A client's timeout runs from when it sent the request, which may have waited unread on a lagging node.
     let now = Instant::now();
     let lag = frontend.lag_monitor.current_lag(now);
     let received_at = now.checked_sub(lag.max(conn.time_in_backlog(now))).unwrap_or(now);
     let (head, body) = request.into_parts();
-    let target = head
-        .uri
-        .path_and_query()
-        .cloned()
-        .ok_or_else(|| text_response(StatusCode::BAD_REQUEST, "no path"))?;
+    let target = head.uri.path_and_query().cloned().ok_or(Rejection::NoPath)?;
     if target.path() == "/healthz" {
-        return match head.method {
-            Method::GET if frontend.ready.get() && *frontend.stage.borrow() == Stage::Serving => {
-                Ok(text_response(StatusCode::OK, "ready"))
-            }
-            Method::GET => Ok(text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready")),
-            _ => Err(method_not_allowed("GET")),
-        };
+        return health(frontend, &head.method);
     }
     let key = target.path().strip_prefix("/api/").and_then(|rest| rest.rsplit('/').next());
-    let Some(key) = key.filter(|key| !key.is_empty()).map(key_number) else {
-        return Err(text_response(StatusCode::NOT_FOUND, "no such path"));
-    };
+    let key = key.filter(|key| !key.is_empty()).map(key_number).ok_or(Rejection::UnknownPath)?;
     if head.method != Method::GET && head.method != Method::PUT {
-        return Err(method_not_allowed("GET, PUT"));
+        return Err(Rejection::MethodNotAllowed("GET, PUT"));
     }
-    let headers = parse_headers(frontend, &head.headers)
-        .map_err(|what| text_response(StatusCode::BAD_REQUEST, what))?;
-    let too_large = || text_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is larger than 64 KiB");
+    let headers = parse_headers(frontend, &head.headers).map_err(Rejection::InvalidHeaders)?;
     if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
-        return Err(too_large());
+        return Err(Rejection::BodyTooLarge);
     }
     let body = match timeout_at(deadline, read_body(body, MAX_BODY_BYTES)).await {
         Ok(Ok(body)) => body,
-        Ok(Err(BodyError::TooLong(_))) => return Err(too_large()),
-        Ok(Err(BodyError::Incomplete(_))) => {
-            return Err(text_response(StatusCode::BAD_REQUEST, "the body broke off"))
-        }
-        Err(_) => return Err(text_response(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
+        Ok(Err(BodyError::TooLong(_))) => return Err(Rejection::BodyTooLarge),
+        Ok(Err(BodyError::Incomplete(_))) => return Err(Rejection::BodyIncomplete),
+        Err(_) => return Err(Rejection::BodyTimeout),
     };
     conn.phase.set(Phase::Answering);
     Ok(submit(frontend, (received_at, lag), key, target, head.method, headers, body).await)
 }
 
+/// Answers whether the node is ready for clients.
+fn health(frontend: &Frontend, method: &Method) -> Result<Reply, Rejection> {
+    if method != Method::GET {
+        return Err(Rejection::MethodNotAllowed("GET"));
+    }
+    let ready = frontend.ready.get() && *frontend.stage.borrow() == Stage::Serving;
+    Ok(match ready {
+        true => text_response(StatusCode::OK, "ready"),
+        false => text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+    })
+}
+
 /// The parsed headers of a request.
 struct RequestHeaders {
     id: HeaderValue,
@@ -228,14 +228,9 @@
     }
 }
 
-fn method_not_allowed(allowed: &'static str) -> Reply {
-    let mut response = text_response(StatusCode::METHOD_NOT_ALLOWED, "no such method");
-    response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
-    response
-}
-
-fn text_response(status: StatusCode, text: &'static str) -> Reply {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+/// A response with this text as its body.
+pub fn text_response(status: StatusCode, text: impl Into<Bytes>) -> Reply {
+    let mut response = Response::new(Full::new(text.into()));
     *response.status_mut() = status;
     response
 }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -226,6 +226,11 @@
         }
     }
 
+    /// Number of connections to cache servers that are open.
+    pub fn open_connections(&self) -> usize {
+        self.open.get()
+    }
+
     /// Applies a discovery entry to the server's pool.
     pub fn apply(&self, entry: &ServerEntry, dial: Option<SocketAddr>) {
         let takes_work = entry.availability == Availability::Ready;
--- a/tests/check_config.rs
+++ b/tests/check_config.rs
@@ -154,6 +154,17 @@
     }
 }
 
+#[test]
+fn an_invalid_memory_limit_is_reported() {
+    for memory in [json!(0), json!(-32), json!("32"), Value::Null] {
+        let mut wrong = valid_config();
+        wrong["limits"]["memory_mb"] = memory;
+        let errors = errors_of_config(&wrong);
+        assert_eq!(errors.len(), 1, "{errors:?}");
+        assert!(errors[0].starts_with("limits.memory_mb: found "), "{errors:?}");
+    }
+}
+
 #[test]
 fn a_path_that_is_not_a_file_is_reported() {
     for path in [std::env::temp_dir(), PathBuf::from("no/such/file.json")] {
