A connection's read buffer occupies memory only for bytes that have arrived

Cause: each read cleared the whole buffer that hyper offers, and a read that fills 8 KiB makes hyper enlarge it, up to 16 KiB for a client and 32 KiB for a server. Change: a read is for 4 KiB at the most.

--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -12,6 +12,10 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Maximum number of bytes of one read, whatever the size of the buffer: no memory is used for bytes that
+/// have not arrived. It is under the 8 KiB from which hyper enlarges the read buffer of a connection.
+const MAX_READ_BYTES: usize = 4 << 10;
+
 /// See the module documentation.
 #[derive(Debug)]
 pub struct Stream(TcpStream);
@@ -51,7 +55,8 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
             ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(buf.initialize_unfilled()) {
+            let length = buf.remaining().min(MAX_READ_BYTES);
+            match self.0.try_read(buf.initialize_unfilled_to(length)) {
                 Ok(read) => {
                     buf.advance(read);
                     return Poll::Ready(Ok(()));
