The bodies of many requests and answers no longer bring a node over its memory

What callers saw: a node with 32 MB and 1,024 descriptors is killed with all that it has taken when hundreds of clients stop within a large request, write it slowly, or send heads of many fields before it, or when servers' answers do not end. Cause: each body was limited to 64 KiB, all of them together were not; 500 connections may hold 32 MB of bodies each way. And a request's head stayed in memory, with the read buffer that its parts share, until its answer was given: 16 KiB and a table of up to 100 fields each. Change: all bodies share a quarter of limits.memory_mb (src/policy/memory.rs); a body holds a reservation until its last copy is dropped. A request that finds no memory is refused with 503 at once, before its end; an answer waits unread until there is memory or its time is over; the last parts are for answers and for bodies of up to 4 KiB. Nothing is reserved for bytes that are only announced. The head is dropped, and what is forwarded copied, before the body is read. An answer before the end of a request's body closes the connection, lingering, as a close with unread bytes would discard it. There are no more connections than one for each 64 KiB of memory.

--- a/src/check.rs
+++ b/src/check.rs
@@ -12,11 +12,14 @@
 use std::path::PathBuf;
 use std::time::Duration;
 use tokio::time::Instant;
+use walkpick::policy::memory::BodyBudget;
 use walkpick::{Class, Effect};
 
 /// Longer times are reported as a probable mistake of the unit.
 const MAX_PLAUSIBLE_TIME: Duration = Duration::from_secs(24 * 3600);
 
+const BYTES_PER_MIB: u64 = 1 << 20;
+
 #[derive(Debug, Args)]
 pub struct CheckConfig {
     /// Path of the configuration file that a node finds through LB_CONFIG
@@ -38,6 +41,10 @@
     discovery: String,
     /// Maximum number of client connections, and of connections to cache servers.
     connections: usize,
+    /// In MiB.
+    memory_mib: u64,
+    /// How much of the memory the bodies of requests and answers may occupy together, in MiB.
+    body_memory_mib: u64,
     known_servers: usize,
     nodes: u32,
     zone: Option<String>,
@@ -135,6 +142,8 @@
             listen: config.listen.to_string(),
             discovery: config.discovery.to_string(),
             connections: config.max_connections(),
+            memory_mib: config.memory_bytes / BYTES_PER_MIB,
+            body_memory_mib: BodyBudget::new(config.memory_bytes).capacity() as u64 / BYTES_PER_MIB,
             known_servers: config.known.hosts.len(),
             nodes: settings.nodes,
             zone: settings.zone.as_ref().map(ToString::to_string),
@@ -158,10 +167,11 @@
             "{file}: valid configuration\n\
              name       {}, one of {} in {zone}\n\
              listens    {}, at most {} connections to clients and as many to cache servers\n\
+             memory     {} MiB, of which bodies may occupy {} MiB together\n\
              discovery  {}, {} cache servers known at start-up\n\
              stop       closes {closes} after SIGTERM, last answers after {all_answered}, exits after {gone}\n\
              log        {log}\n",
-            self.name, self.nodes, self.listen, self.connections, self.discovery, self.known_servers,
+            self.name, self.nodes, self.listen, self.connections, self.memory_mib, self.body_memory_mib, self.discovery, self.known_servers,
         );
         match &self.peers {
             Some(peers) => {
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,7 @@
 mod members;
 mod net {
     pub mod body;
+    pub mod body_memory;
     pub mod config;
     pub mod discovery;
     pub mod driver;
@@ -24,6 +25,7 @@
 
 use clap::Parser;
 use cli::{Cli, Command};
+use net::body_memory::BodyMemory;
 use net::config::fault::ConfigError;
 use net::config::{self, Config};
 use net::discovery::DiscoveryClient;
@@ -120,12 +122,24 @@
     let (stages, stage) = watch::channel(Stage::Serving);
     let (address_changes, discovery) = watch::channel(discovery);
     let ready = Rc::default();
-    let upstream = Rc::new(Upstream::new(max_connections, settings.connect_timeout, settings.keepalive));
+    let body_memory = BodyMemory::new(memory_bytes);
+    let upstream = Rc::new(Upstream::new(
+        max_connections,
+        settings.connect_timeout,
+        settings.keepalive,
+        body_memory.clone(),
+    ));
     // The driver lives as long as the node: events sent after it has ended do not matter.
     let (client_events, lists) = (events.clone(), events.clone());
     let on_client_event = Rc::new(move |event| drop(client_events.send(Input::Client(event))));
-    let frontend =
-        Rc::new(Frontend::new(&settings, Rc::clone(&ready), lag_monitor.clone(), stage, on_client_event));
+    let frontend = Rc::new(Frontend::new(
+        &settings,
+        Rc::clone(&ready),
+        lag_monitor.clone(),
+        stage,
+        on_client_event,
+        body_memory,
+    ));
     let seq = (!known.hosts.is_empty()).then_some(known.seq);
     let subscription = Subscription::new(delivery, seq, seed, Instant::now().into_std());
     let publish = move |listing| lists.send(Input::Servers(listing)).is_ok();
--- a/src/net/body/tests.rs
+++ b/src/net/body/tests.rs
@@ -94,7 +94,7 @@
     const MAX_BYTES: usize = 1_000;
     let (mut bytes, mut capacities) = (Vec::new(), Vec::new());
     for _ in 0..MAX_BYTES {
-        grow(&mut bytes, 1, MAX_BYTES);
+        bytes.reserve_exact(next_capacity(&bytes, 1, MAX_BYTES) - bytes.len());
         bytes.push(b'x');
         capacities.push(bytes.capacity());
     }
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
+use walkpick::policy::memory::max_connections;
 use walkpick::policy::subscription::Delivery;
 use walkpick::wire::{parse_settings, InvalidSetting};
 use walkpick::Settings;
@@ -49,7 +50,8 @@
 impl Config {
     /// Maximum number of client connections; each may need a connection to a cache server at the same time.
     pub fn max_connections(&self) -> usize {
-        self.sockets.saturating_sub(RESERVED_SOCKETS) / 2
+        let descriptors = self.sockets.saturating_sub(RESERVED_SOCKETS) / 2;
+        descriptors.min(max_connections(self.memory_bytes))
     }
 
     /// The longest deadline of any class.
--- a/src/net/resources.rs
+++ b/src/net/resources.rs
@@ -56,11 +56,11 @@
     fn log(&self, memory: &Memory, part: u64) {
         let Memory { resident_kib, peak_kib } = *memory;
         let (clients, servers) = (self.frontend.open_connections.get(), self.upstream.open_connections());
-        let limit_kib = self.memory_limit_kib;
+        let (limit_kib, body_kib) = (self.memory_limit_kib, self.frontend.body_memory.used() / 1024);
         if part >= WARNING_PART {
-            warn!(target: "node", resident_kib, peak_kib, limit_kib, clients, servers, "memory in use");
+            warn!(target: "node", resident_kib, peak_kib, limit_kib, clients, servers, body_kib, "memory in use");
         } else {
-            info!(target: "node", resident_kib, peak_kib, limit_kib, clients, servers, "memory in use");
+            info!(target: "node", resident_kib, peak_kib, limit_kib, clients, servers, body_kib, "memory in use");
         }
     }
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -11,6 +11,7 @@
 use connection::{ClientConnection, CloseReason, IdleConnections, Phase};
 use requests::{asks_to_close, respond};
 
+use crate::net::body_memory::BodyMemory;
 use crate::net::lifecycle::{LagMonitor, Stage};
 use crate::net::read_ahead::{ReadAhead, SharedStream};
 use crate::net::upstream::{UpstreamRequest, MAX_REQUEST_HEAD_BYTES};
@@ -25,6 +26,7 @@
 use std::future::poll_fn;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -93,6 +95,7 @@
     pub lag_monitor: Rc<LagMonitor>,
     pub stage: watch::Receiver<Stage>,
     pub events: EventSink,
+    pub body_memory: Arc<BodyMemory>,
     pub next_number: Cell<u64>,
     /// When the last answer was given.
     pub last_answer_at: Cell<Option<Instant>>,
@@ -108,6 +111,7 @@
         lag_monitor: Rc<LagMonitor>,
         stage: watch::Receiver<Stage>,
         events: EventSink,
+        body_memory: Arc<BodyMemory>,
     ) -> Self {
         Self {
             classes: settings
@@ -120,6 +124,7 @@
             lag_monitor,
             stage,
             events,
+            body_memory,
             next_number: Cell::new(0),
             last_answer_at: Cell::default(),
             open_connections: Cell::default(),
@@ -143,7 +148,7 @@
         let client_closes = asks_to_close(&request);
         let mut response = respond(&frontend, request, &conn, deadline).await;
         let closing = conn.closing.get() || *frontend.stage.borrow() >= Stage::Closing;
-        if closing || client_closes || shared.overrun() {
+        if closing || client_closes || shared.overrun() || conn.body_incomplete.get() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             shared.linger_on_close();
         }
--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -76,14 +76,27 @@
     pub phase: Cell<Phase>,
     /// It has been asked to close: the next answer is its last.
     pub closing: Cell<bool>,
+    /// The body of the present request has not been read to its end: no other request can follow on the
+    /// connection.
+    pub body_incomplete: Cell<bool>,
 }
 
 impl ClientConnection {
     /// A connection that has just been accepted; it is idle.
     pub fn new(frontend: Rc<Frontend>, arrival: Arrival) -> Self {
-        let (close_requested, number, requests, closing) = Default::default();
+        let (close_requested, number, requests, closing, body_incomplete) = Default::default();
         let (opened_at, phase) = (arrival.waiting_since, Cell::new(Phase::Idle));
-        let conn = Self { frontend, close_requested, number, arrival, opened_at, requests, phase, closing };
+        let conn = Self {
+            frontend,
+            close_requested,
+            number,
+            arrival,
+            opened_at,
+            requests,
+            phase,
+            closing,
+            body_incomplete,
+        };
         conn.frontend.open_connections.set(conn.frontend.open_connections.get() + 1);
         conn.mark_idle();
         conn
--- a/src/net/server/rejection.rs
+++ b/src/net/server/rejection.rs
@@ -1,11 +1,14 @@
 //! Why a request is answered without being forwarded, and the response to it.
 
 use super::requests::{text_response, Reply};
-use hyper::header::{HeaderValue, ALLOW};
+use hyper::header::{HeaderValue, ALLOW, RETRY_AFTER};
 use hyper::StatusCode;
 use thiserror::Error;
 
-/// A request that no cache server may see: it does not follow the protocol.
+/// When a client whose request found no memory should retry it.
+const RETRY_AFTER_SECONDS: &str = "0.5";
+
+/// Why no cache server may see a request.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub enum Rejection {
     #[error("no path")]
@@ -23,6 +26,9 @@
     BodyIncomplete,
     #[error("the body did not come in time")]
     BodyTimeout,
+    /// A refusal: the request has not been forwarded, and its client may retry it.
+    #[error("too many large requests at the same time: try again later")]
+    NoMemory,
 }
 
 impl Rejection {
@@ -34,15 +40,19 @@
             Self::MethodNotAllowed(_) => StatusCode::METHOD_NOT_ALLOWED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
     /// The response to the client.
     pub fn response(&self) -> Reply {
         let mut response = text_response(self.status(), self.to_string());
-        if let Self::MethodNotAllowed(allowed) = self {
-            response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
-        }
+        let header = match self {
+            Self::MethodNotAllowed(allowed) => (ALLOW, HeaderValue::from_static(allowed)),
+            Self::NoMemory => (RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_SECONDS)),
+            _ => return response,
+        };
+        response.headers_mut().extend([header]);
         response
     }
 }
--- a/src/net/server/requests.rs
+++ b/src/net/server/requests.rs
@@ -3,7 +3,7 @@
 use super::connection::{ClientConnection, Phase};
 use super::rejection::Rejection;
 use super::{Answer, ClientEvent, ClientRequest, EventSink, Frontend};
-use crate::net::body::{read_body, BodyError};
+use crate::net::body::{read_reserved_body, BodyError};
 use crate::net::lifecycle::Stage;
 use crate::net::upstream::{UpstreamRequest, IDEMPOTENCY_KEY, MAX_BODY_BYTES, REQ_DEADLINE, REQ_ID};
 use bytes::Bytes;
@@ -19,6 +19,7 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::{timeout_at, Instant};
+use walkpick::policy::memory::BodyKind;
 use walkpick::{ClassId, TenantId};
 
 const REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
@@ -77,40 +78,76 @@
     let now = Instant::now();
     let lag = frontend.lag_monitor.current_lag(now);
     let received_at = now.checked_sub(lag.max(conn.time_in_backlog(now))).unwrap_or(now);
-    let (head, body) = request.into_parts();
-    let target = head.uri.path_and_query().cloned().ok_or(Rejection::NoPath)?;
-    if target.path() == "/healthz" {
-        return health(frontend, &head.method);
-    }
-    let key = target.path().strip_prefix("/api/").and_then(|rest| rest.rsplit('/').next());
-    let key = key.filter(|key| !key.is_empty()).map(key_number).ok_or(Rejection::UnknownPath)?;
-    if head.method != Method::GET && head.method != Method::PUT {
-        return Err(Rejection::MethodNotAllowed("GET, PUT"));
-    }
-    let headers = parse_headers(frontend, &head.headers).map_err(Rejection::InvalidHeaders)?;
+    conn.body_incomplete.set(!request.body().is_end_stream());
+    let head = RequestHead::read(frontend, &request)?;
+    let head = match head {
+        RequestHead::Health => return Ok(health(frontend)),
+        RequestHead::Api(head) => head,
+    };
+    // The head is dropped here: what it occupies is not held while the body arrives and the request is
+    // answered.
+    let body = request.into_body();
     if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Err(Rejection::BodyTooLarge);
     }
-    let body = match timeout_at(deadline, read_body(body, MAX_BODY_BYTES)).await {
+    let reservation = frontend.body_memory.reservation(BodyKind::Request);
+    let body = timeout_at(deadline, read_reserved_body(body, MAX_BODY_BYTES, reservation)).await;
+    let body = match body {
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::TooLong(_))) => return Err(Rejection::BodyTooLarge),
+        Ok(Err(BodyError::NoMemory(_))) => return Err(Rejection::NoMemory),
         Ok(Err(BodyError::Incomplete(_))) => return Err(Rejection::BodyIncomplete),
         Err(_) => return Err(Rejection::BodyTimeout),
     };
+    conn.body_incomplete.set(false);
     conn.phase.set(Phase::Answering);
-    Ok(submit(frontend, (received_at, lag), key, target, head.method, headers, body).await)
+    Ok(submit(frontend, (received_at, lag), *head, body).await)
 }
 
 /// Answers whether the node is ready for clients.
-fn health(frontend: &Frontend, method: &Method) -> Result<Reply, Rejection> {
-    if method != Method::GET {
-        return Err(Rejection::MethodNotAllowed("GET"));
-    }
+fn health(frontend: &Frontend) -> Reply {
     let ready = frontend.ready.get() && *frontend.stage.borrow() == Stage::Serving;
-    Ok(match ready {
+    match ready {
         true => text_response(StatusCode::OK, "ready"),
         false => text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
-    })
+    }
+}
+
+/// What the head of a request asks for.
+enum RequestHead {
+    /// Whether the node is ready.
+    Health,
+    /// A request to be forwarded.
+    Api(Box<ApiRequest>),
+}
+
+impl RequestHead {
+    fn read(frontend: &Frontend, request: &Request<Incoming>) -> Result<Self, Rejection> {
+        let (method, target) = (request.method(), request.uri().path_and_query().ok_or(Rejection::NoPath)?);
+        if target.path() == "/healthz" {
+            return match *method {
+                Method::GET => Ok(Self::Health),
+                _ => Err(Rejection::MethodNotAllowed("GET")),
+            };
+        }
+        let key = target.path().strip_prefix("/api/").and_then(|rest| rest.rsplit('/').next());
+        let key = key.filter(|key| !key.is_empty()).map(key_number).ok_or(Rejection::UnknownPath)?;
+        if method != Method::GET && method != Method::PUT {
+            return Err(Rejection::MethodNotAllowed("GET, PUT"));
+        }
+        let headers = parse_headers(frontend, request.headers()).map_err(Rejection::InvalidHeaders)?;
+        // A copy: the original is a part of the read buffer, all of which it would keep.
+        let target = PathAndQuery::from_str(target.as_str()).map_err(|_| Rejection::NoPath)?;
+        Ok(Self::Api(Box::new(ApiRequest { key, target, method: method.clone(), headers })))
+    }
+}
+
+/// The head of a request to be forwarded.
+struct ApiRequest {
+    key: u64,
+    target: PathAndQuery,
+    method: Method,
+    headers: RequestHeaders,
 }
 
 /// The parsed headers of a request.
@@ -143,8 +180,8 @@
         number(headers, &REQ_DEADLINE, "unreadable Req-Deadline-Ms")?.ok_or("no Req-Deadline-Ms")?;
     let cost: Option<u32> = number(headers, &REQ_COST, "unreadable Req-Cost")?;
     Ok(RequestHeaders {
-        id: id.clone(),
-        idempotency_key: headers.get(IDEMPOTENCY_KEY).cloned(),
+        id: copy(id),
+        idempotency_key: headers.get(IDEMPOTENCY_KEY).map(copy),
         timeout: Duration::from_millis(timeout.into()),
         class: ClassId(class),
         tenant,
@@ -153,6 +190,11 @@
     })
 }
 
+/// A copy that does not keep the read buffer of which the original is a part.
+fn copy(value: &HeaderValue) -> HeaderValue {
+    HeaderValue::from_bytes(value.as_bytes()).unwrap_or_else(|_| value.clone())
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, &'static str> {
     headers.get(name).map(|value| value.to_str().map_err(|_| "unreadable header")).transpose()
 }
@@ -177,10 +219,7 @@
 async fn submit(
     frontend: &Frontend,
     (received_at, lag): (Instant, Duration),
-    key: u64,
-    target: PathAndQuery,
-    method: Method,
-    headers: RequestHeaders,
+    ApiRequest { key, target, method, headers }: ApiRequest,
     body: Bytes,
 ) -> Reply {
     let number = frontend.next_number.replace(frontend.next_number.get() + 1);
--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -27,6 +27,7 @@
             Rc::new(LagMonitor::start()),
             stage,
             Rc::new(on_event),
+            BodyMemory::new(64 << 20),
         )),
     )
 }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,6 +1,7 @@
 //! Connection pools to cache servers, with one request at a time on each connection, and attempts on them.
 
-use crate::net::body::{read_body, BodyError};
+use crate::net::body::{read_reserved_body, BodyError};
+use crate::net::body_memory::{BodyMemory, Reservation};
 use crate::net::stream::Stream;
 use crate::net::watched::{IoObserver, ObservedStream};
 use bytes::Bytes;
@@ -16,11 +17,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 use tracing::debug;
+use walkpick::policy::memory::BodyKind;
 use walkpick::wire::parse_load_report;
 use walkpick::{Availability, CacheStatus, LoadReport, ServerEntry, ServerId, Status, Timestamp};
 
@@ -35,8 +38,8 @@
 const LOAD: HeaderName = HeaderName::from_static("srv-load");
 const CACHE: HeaderName = HeaderName::from_static("srv-cache");
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
-/// Size limit of hyper's buffers of a connection: a server chooses how much it sends at once. A request's head is
-/// shorter, so it is always buffered together with its body, on which [`WriteProgress`] relies.
+/// Size limit of hyper's buffers of a connection: a server chooses how much it sends at once. A request's
+/// head is shorter, so it is always buffered together with its body, on which [`WriteProgress`] relies.
 const MAX_BUFFER_BYTES: usize = 2 * MAX_REQUEST_HEAD_BYTES;
 
 /// How long a connection stays idle after an answer before it is reused. A duplicate answer may follow some
@@ -211,11 +214,17 @@
     connect_timeout: Duration,
     idle_limit: Duration,
     failure_rates: ReuseFailureRates,
+    body_memory: Arc<BodyMemory>,
 }
 
 impl Upstream {
     /// Keeps at most `max_connections` connections open.
-    pub fn new(max_connections: usize, connect_timeout: Duration, keepalive: Duration) -> Self {
+    pub fn new(
+        max_connections: usize,
+        connect_timeout: Duration,
+        keepalive: Duration,
+        body_memory: Arc<BodyMemory>,
+    ) -> Self {
         Self {
             pools: RefCell::default(),
             open: Rc::default(),
@@ -223,6 +232,7 @@
             connect_timeout,
             idle_limit: idle_limit(keepalive, connect_timeout),
             failure_rates: ReuseFailureRates::default(),
+            body_memory,
         }
     }
 
@@ -323,7 +333,8 @@
             return AttemptResult::without_answer(Status::ConnectError);
         };
         connection.written.reset();
-        let answer = timeout_at(until, exchange(&mut connection.sender, request)).await;
+        let reservation = self.body_memory.reservation(BodyKind::Answer);
+        let answer = timeout_at(until, exchange(&mut connection.sender, request, reservation)).await;
         let fully_sent = connection.written.complete.get();
         if let (Some(idle), Ok(answer)) = (idle, &answer) {
             self.failure_rates.record(idle, answer.is_err(), Instant::now());
@@ -426,6 +437,7 @@
 async fn exchange(
     sender: &mut SendRequest<Full<Bytes>>,
     request: Request<Full<Bytes>>,
+    reservation: Reservation,
 ) -> Result<(AttemptResult, bool), hyper::Error> {
     let response = sender.send_request(request).await?;
     let status = response_status(&response);
@@ -437,14 +449,15 @@
         _ => None,
     };
     let load = text(&LOAD).map_or_else(LoadReport::default, |text| parse_load_report(text, '='));
-    match read_body(response.into_body(), MAX_BODY_BYTES).await {
+    match read_reserved_body(response.into_body(), MAX_BODY_BYTES, reservation).await {
         Ok(body) => {
             let body = (status == Status::Ok).then_some(body);
             Ok((AttemptResult { status, cache_status, load, body }, true))
         }
         Err(BodyError::Incomplete(error)) => Err(error),
-        // Larger than any valid answer: the request ran, but its answer is useless.
-        Err(BodyError::TooLong(_)) => {
+        // Larger than any valid answer, or than there is memory for: the request ran, but its answer is
+        // useless.
+        Err(BodyError::TooLong(_) | BodyError::NoMemory(_)) => {
             Ok((AttemptResult { status: Status::Failed, cache_status, load, body: None }, false))
         }
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,6 +4,7 @@
 mod breaker;
 mod deployment;
 mod hash;
+pub mod memory;
 mod origin;
 mod placement;
 mod requests;
--- a/tests/check_config.rs
+++ b/tests/check_config.rs
@@ -179,9 +179,16 @@
 fn a_valid_configuration_is_shown_as_the_plan_of_a_node() {
     let path = write_config(&valid_config().to_string());
     let text = String::from_utf8(check(&path, &[]).stdout).unwrap();
-    for part in
-        ["n0", "127.0.0.1:0", "10.2.0.1:8500", "500 connections", "1 cache servers", "never runs twice"]
-    {
+    for part in [
+        "n0",
+        "127.0.0.1:0",
+        "10.2.0.1:8500",
+        "500 connections",
+        "192 MiB",
+        "48 MiB",
+        "1 cache servers",
+        "never runs twice",
+    ] {
         assert!(text.contains(part), "{part}: {text}");
     }
     let shown: Value = serde_json::from_slice(&check(&path, &["--json"]).stdout).unwrap();
--- a/tests/node_crowds.rs
+++ b/tests/node_crowds.rs
@@ -11,8 +11,12 @@
 const DESCRIPTORS: usize = 1_024;
 /// Clients that stop within a request: fewer than the 500 connections that such a node accepts.
 const STOPPED_CLIENTS: usize = 480;
+/// Clients with a complete request: the platform's clients use at most a third of the descriptors.
+const CLIENTS: usize = DESCRIPTORS / 3;
 /// How much of a body a client sends before it stops.
 const PARTIAL_BODY_BYTES: usize = 60_000;
+/// Number of fields of a long head: hyper accepts at most 100.
+const FIELDS: usize = 90;
 const SERVERS: usize = 24;
 
 /// A node with the minimum memory and [`SERVERS`] cache servers that react like this one.
@@ -36,6 +40,12 @@
     )
 }
 
+/// This many fields that no node knows, with a value of this length.
+fn unknown_fields(count: usize, value_bytes: usize) -> String {
+    let value = "v".repeat(value_bytes);
+    (0..count).map(|i| format!("a{i}:{value}\r\n")).collect()
+}
+
 /// Has [`STOPPED_CLIENTS`] clients each send the pieces that `pieces` gives for its number, with a pause behind each, and
 /// then stop. Another client's request is answered meanwhile, and the node stays within its memory.
 fn assert_bounded_with(pieces: impl Fn(usize) -> Vec<String> + Sync, pause: Duration) {
@@ -71,3 +81,67 @@
 fn clients_that_stop_within_a_large_body_keep_a_node_within_its_memory() {
     assert_bounded_with(|number| vec![put_head(number, ""), "x".repeat(PARTIAL_BODY_BYTES)], Duration::ZERO);
 }
+
+// Guards against a node that is killed for its memory by bodies that arrive slowly.
+#[test]
+fn clients_that_write_a_large_body_slowly_keep_a_node_within_its_memory() {
+    let pieces = |number| {
+        let body = std::iter::repeat_n("x".repeat(PARTIAL_BODY_BYTES / 20), 20);
+        std::iter::once(put_head(number, "")).chain(body).collect()
+    };
+    assert_bounded_with(pieces, Duration::from_millis(50));
+}
+
+// Guards against a node that is killed for its memory because it keeps a request's head while it waits for the body.
+#[test]
+fn long_heads_before_incomplete_bodies_keep_a_node_within_its_memory() {
+    let fields = unknown_fields(FIELDS, 150);
+    assert_bounded_with(|number| vec![put_head(number, &fields), "x".into()], Duration::ZERO);
+    assert_bounded_with(
+        |number| vec![put_head(number, &fields), "x".repeat(PARTIAL_BODY_BYTES)],
+        Duration::ZERO,
+    );
+}
+
+// Guards against a node that is killed for its memory by heads of many short fields, complete or not.
+#[test]
+fn heads_of_many_short_fields_keep_a_node_within_its_memory() {
+    let incomplete = |count| {
+        let fields = unknown_fields(count, 1);
+        move |number| vec![put_head(number, &fields).trim_end().to_owned()]
+    };
+    assert_bounded_with(incomplete(FIELDS), Duration::ZERO);
+    assert_bounded_with(incomplete(1_500), Duration::ZERO);
+}
+
+// Guards against a node that is killed for its memory because each answer is limited, but not all of them together.
+#[test]
+fn large_answers_that_do_not_end_keep_a_node_within_its_memory() {
+    let partial_answer = http_response("200 OK", "", &"x".repeat(MAX_BODY_BYTES));
+    let partial_answer = partial_answer[..PARTIAL_BODY_BYTES].to_owned();
+    let server = CacheServer::start(move |_| Reaction::Respond(partial_answer.clone()));
+    let node = start_node(&server);
+    // A request that must not run twice is sent once only.
+    let get = |number| node.client().request(&get_request("once", key(number), 3_000)).status();
+    let statuses = at_the_same_time(CLIENTS, get);
+    assert_within_memory(&node);
+    assert!(!statuses.contains(&200), "{statuses:?}");
+}
+
+// Guards against a node that is killed for its memory by complete bodies that wait for their answers.
+#[test]
+fn large_requests_in_flight_keep_a_node_within_its_memory() {
+    let server = CacheServer::start(|_| Reaction::NoResponse);
+    let node = start_node(&server);
+    let body = "x".repeat(MAX_BODY_BYTES);
+    let put = |number| {
+        let mut client = node.client();
+        client.try_send(&put_head(number, "").replace("20000", "3000"));
+        client.try_send(&body);
+        client.read_response().map(|response| response.status())
+    };
+    let statuses = at_the_same_time(CLIENTS, put);
+    assert_within_memory(&node);
+    // Each is refused or fails; none is left without an answer.
+    assert!(statuses.iter().all(|status| matches!(status, Some(502 | 503))), "{statuses:?}");
+}
