Nothing is kept of a request that has ended until the deadline its client chose

What callers saw: while one client sends requests under ever new names on one connection, the node's memory grows without end. Cause: the driver's timer for the final answer (src/net/driver.rs, timers) stayed in its heap until the request's deadline, which the client states, up to 49 days; each entry holds an id of its own. Change: the timers are an ordered set, and a request's timer is removed with the request.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -5,8 +5,7 @@
 use crate::net::server::{Answer, ClientEvent, ClientRequest};
 use crate::net::upstream::{AttemptResult, StartCondition, Upstream, UpstreamRequest};
 use std::cell::Cell;
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::fmt::Write;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -91,7 +90,7 @@
     task: Option<AbortHandle>,
 }
 
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
     Wake,
     AnswerDeadline(RequestId),
@@ -107,7 +106,7 @@
     in_flight: HashMap<RequestId, InFlightRequest>,
     /// During a shutdown: by when the last answer is due.
     answer_by: Option<Instant>,
-    timers: BinaryHeap<Reverse<(Instant, Timer)>>,
+    timers: BTreeSet<(Instant, Timer)>,
     pending_events: VecDeque<Event>,
     list: CurrentList,
 }
@@ -139,7 +138,7 @@
             events,
             in_flight: HashMap::new(),
             answer_by: None,
-            timers: BinaryHeap::new(),
+            timers: BTreeSet::new(),
             pending_events: VecDeque::new(),
             list: CurrentList { seq: 0, since: Instant::now() },
         }
@@ -160,7 +159,7 @@
     /// Handles one input or timer with everything that follows from it. Returns `false` when no more input
     /// can come.
     async fn step(&mut self, inputs: &mut UnboundedReceiver<Input>) -> bool {
-        let next = self.timers.peek().map(|Reverse((at, _))| *at);
+        let next = self.timers.first().map(|(at, _)| *at);
         let timer = async {
             match next {
                 Some(at) => sleep_until(at).await,
@@ -258,7 +257,7 @@
             attempts: Vec::new(),
         };
         self.in_flight.insert(id.clone(), request);
-        self.timers.push(Reverse((deadline + ANSWER_DEADLINE_MARGIN, Timer::AnswerDeadline(id.clone()))));
+        self.timers.insert(answer_timer(&id, deadline));
         self.pending_events.push_back(Event::Request(Request {
             id,
             class: Some(client_request.class),
@@ -277,9 +276,9 @@
         for (id, request) in self.in_flight.iter_mut().filter(|(_, request)| request.answer.is_some()) {
             let deadline = limit_to_shutdown(request.deadline, self.answer_by);
             if deadline < request.deadline {
+                self.timers.remove(&answer_timer(id, request.deadline));
+                self.timers.insert(answer_timer(id, deadline));
                 request.deadline = deadline;
-                self.timers
-                    .push(Reverse((deadline + ANSWER_DEADLINE_MARGIN, Timer::AnswerDeadline(id.clone()))));
             }
         }
     }
@@ -336,22 +335,31 @@
         let done = |request: &InFlightRequest| {
             request.answer.is_none() && request.attempts.iter().all(|attempt| attempt.task.is_none())
         };
-        if self.in_flight.get(id).is_some_and(done) {
+        if let Some(request) = self.in_flight.get(id).filter(|request| done(request)) {
+            // Its deadline may be far off, as its client chooses it.
+            self.timers.remove(&answer_timer(id, request.deadline));
             self.in_flight.remove(id);
         }
     }
 
     fn fire_timers(&mut self) {
         let now = Instant::now();
-        while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now) {
-            match self.timers.pop() {
-                Some(Reverse((_, Timer::Wake))) => self.pending_events.push_back(Event::Timer),
-                Some(Reverse((_, Timer::AnswerDeadline(id)))) => self.fail_overdue(id),
-                None => {}
+        while let Some(timer) = self.take_due_timer(now) {
+            match timer {
+                Timer::Wake => self.pending_events.push_back(Event::Timer),
+                Timer::AnswerDeadline(id) => self.fail_overdue(id),
             }
         }
     }
 
+    fn take_due_timer(&mut self, now: Instant) -> Option<Timer> {
+        let (at, _) = self.timers.first()?;
+        if *at > now {
+            return None;
+        }
+        self.timers.pop_first().map(|(_, timer)| timer)
+    }
+
     /// Fails a request that the module has not answered shortly after its deadline, so that its client is not
     /// left without an answer, and notifies the module that no answer is owed any more. Results of its
     /// attempts are still reported.
@@ -394,7 +402,9 @@
                 self.finish(&id, Answer::Refused { retry_after }, reason);
             }
             Action::Fail { id, reason } => self.finish(&id, Answer::Failed, reason),
-            Action::Wake { after } => self.timers.push(Reverse((Instant::now() + after, Timer::Wake))),
+            Action::Wake { after } => {
+                self.timers.insert((Instant::now() + after, Timer::Wake));
+            }
             Action::Close { server } => self.upstream.close_idle(&server),
             Action::Log(text) => info!(target: "policy", "{text}"),
             // The module never probes where the settings forbid it, as they do for this program.
@@ -535,6 +545,11 @@
     }
 }
 
+/// The timer that ends a request which has this deadline.
+fn answer_timer(id: &RequestId, deadline: Instant) -> (Instant, Timer) {
+    (deadline + ANSWER_DEADLINE_MARGIN, Timer::AnswerDeadline(id.clone()))
+}
+
 fn request_id(number: u64) -> RequestId {
     RequestId::from(number.to_string().as_str())
 }
--- a/src/net/driver/tests.rs
+++ b/src/net/driver/tests.rs
@@ -209,3 +209,27 @@
         })
         .await;
 }
+
+// Guards against memory that grows with each request until the deadline that its client chose, which may be days off.
+#[tokio::test(start_paused = true)]
+async fn nothing_is_kept_of_a_request_that_has_ended() {
+    LocalSet::new()
+        .run_until(async {
+            let mut harness = Harness::new(2);
+            for status in [Status::Ok, Status::ConnectError, Status::Failed] {
+                for class in [0, 1] {
+                    let (id, _answer) = harness.submit(class);
+                    while harness.driver.in_flight.contains_key(&id) {
+                        harness.finish_attempt(&id, status);
+                    }
+                }
+            }
+            let (left, _answer) = harness.submit(0);
+            harness.driver.handle_input(Input::Client(ClientEvent::Disconnected(harness.next_number)));
+            harness.driver.process_events();
+            assert!(!harness.driver.in_flight.contains_key(&left));
+            let timers = harness.driver.timers.iter().filter(|(_, timer)| *timer != Timer::Wake);
+            assert_eq!(timers.count(), 0);
+        })
+        .await;
+}
