One client's requests at full speed on one connection no longer hold up all others

What callers saw: while one client sends small or unsound requests on one connection at full speed, others get their answers late. Cause: hyper serves what has arrived on a connection 16 requests at a time and then wakes itself; its task runs up to 61 times before the runtime asks the system for other events (src/net/server.rs, the service). Requests that need no server are answered at once, so some 1,000 of them came before each step of anybody else's request, and took all of the processor.

--- a/src/net/resources.rs
+++ b/src/net/resources.rs
@@ -57,10 +57,11 @@
         let Memory { resident_kib, peak_kib } = *memory;
         let (clients, servers) = (self.frontend.open_connections.get(), self.upstream.open_connections());
         let (limit_kib, body_kib) = (self.memory_limit_kib, self.frontend.body_memory.used() / 1024);
+        let rejections = self.frontend.rejections.get();
         if part >= WARNING_PART {
-            warn!(target: "node", resident_kib, peak_kib, limit_kib, clients, servers, body_kib, "memory in use");
+            warn!(target: "node", resident_kib, peak_kib, limit_kib, clients, servers, body_kib, rejections, "memory in use");
         } else {
-            info!(target: "node", resident_kib, peak_kib, limit_kib, clients, servers, body_kib, "memory in use");
+            info!(target: "node", resident_kib, peak_kib, limit_kib, clients, servers, body_kib, rejections, "memory in use");
         }
     }
 }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -101,6 +101,8 @@
     pub last_answer_at: Cell<Option<Instant>>,
     /// Number of clients' connections that are open.
     pub open_connections: Cell<usize>,
+    /// Number of requests so far that were answered without being forwarded.
+    pub rejections: Cell<u64>,
     idle: IdleConnections,
 }
 
@@ -128,6 +130,7 @@
             next_number: Cell::new(0),
             last_answer_at: Cell::default(),
             open_connections: Cell::default(),
+            rejections: Cell::default(),
             idle: IdleConnections::default(),
         }
     }
@@ -144,6 +147,7 @@
     http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(MAX_REQUEST_HEAD_BYTES);
     let (stream, shared) = ReadAhead::new(stream);
     let service = service_fn(async |request| {
+        conn.take_turns().await;
         let deadline = conn.head_received();
         let client_closes = asks_to_close(&request);
         let mut response = respond(&frontend, request, &conn, deadline).await;
--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -9,8 +9,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{sleep_until, Instant};
+use tokio::task::yield_now;
+use tokio::time::{sleep, sleep_until, Instant};
 use tracing::{debug, info};
+use walkpick::policy::pacing::AnswerPace;
 
 /// A client must send its first request completely within this time of connecting, and the body of each
 /// further one within this time of its head: a client that sends less, or nothing, is due an error or a close
@@ -79,12 +81,16 @@
     /// The body of the present request has not been read to its end: no other request can follow on the
     /// connection.
     pub body_incomplete: Cell<bool>,
+    /// An answer has been given, and the connection has not waited for bytes since.
+    answered_without_pause: Cell<bool>,
+    pace: Cell<AnswerPace>,
 }
 
 impl ClientConnection {
     /// A connection that has just been accepted; it is idle.
     pub fn new(frontend: Rc<Frontend>, arrival: Arrival) -> Self {
         let (close_requested, number, requests, closing, body_incomplete) = Default::default();
+        let (answered_without_pause, pace) = Default::default();
         let (opened_at, phase) = (arrival.waiting_since, Cell::new(Phase::Idle));
         let conn = Self {
             frontend,
@@ -96,6 +102,8 @@
             phase,
             closing,
             body_incomplete,
+            answered_without_pause,
+            pace,
         };
         conn.frontend.open_connections.set(conn.frontend.open_connections.get() + 1);
         conn.mark_idle();
@@ -137,6 +145,24 @@
         from + REQUEST_TIMEOUT
     }
 
+    /// Lets all others have their turn between two requests of a connection which are there at the same time.
+    pub async fn take_turns(&self) {
+        if self.answered_without_pause.replace(true) {
+            yield_now().await;
+        }
+    }
+
+    /// Waits as the pace of answers without a cache server demands, which may make this the last one.
+    pub async fn keep_pace(&self) {
+        let mut pace = self.pace.get();
+        let answer = pace.next_answer(Instant::now().into_std());
+        self.pace.set(pace);
+        if answer.last {
+            self.closing.set(true);
+            sleep(answer.delay).await;
+        }
+    }
+
     /// Logs why the connection closes. Only a close by the client, the usual case, is logged at debug level.
     pub fn log_close(&self, reason: CloseReason) {
         let (phase, requests) = (self.phase.get(), self.requests.get());
@@ -149,11 +175,12 @@
         }
     }
 
-    /// Logs why a request is answered without being forwarded.
-    pub fn log_rejection(&self, rejection: Rejection) {
+    /// Counts and logs a request that is answered without being forwarded.
+    pub fn record_rejection(&self, rejection: Rejection) {
         let (phase, requests) = (self.phase.get(), self.requests.get());
         let age_ms = self.opened_at.elapsed().as_millis() as u64;
         let status = rejection.status().as_u16();
+        self.frontend.rejections.set(self.frontend.rejections.get() + 1);
         info!(target: "clients", %rejection, status, ?phase, requests, age_ms, "client request rejected");
     }
 
@@ -175,6 +202,10 @@
     fn on_read(&self) {
         self.mark_reading();
     }
+
+    fn on_read_pending(&self) {
+        self.answered_without_pause.set(false);
+    }
 }
 
 impl Drop for ClientConnection {
--- a/src/net/server/requests.rs
+++ b/src/net/server/requests.rs
@@ -51,10 +51,14 @@
     conn: &ClientConnection,
     deadline: Instant,
 ) -> Reply {
-    let response = handle_request(frontend, request, conn, deadline).await.unwrap_or_else(|rejection| {
-        conn.log_rejection(rejection);
-        rejection.response()
-    });
+    let response = match handle_request(frontend, request, conn, deadline).await {
+        Ok(response) => response,
+        Err(rejection) => {
+            conn.record_rejection(rejection);
+            conn.keep_pace().await;
+            rejection.response()
+        }
+    };
     frontend.last_answer_at.set(Some(Instant::now()));
     response
 }
@@ -81,7 +85,10 @@
     conn.body_incomplete.set(!request.body().is_end_stream());
     let head = RequestHead::read(frontend, &request)?;
     let head = match head {
-        RequestHead::Health => return Ok(health(frontend)),
+        RequestHead::Health => {
+            conn.keep_pace().await;
+            return Ok(health(frontend));
+        }
         RequestHead::Api(head) => head,
     };
     // The head is dropped here: what it occupies is not held while the body arrives and the request is
--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -295,3 +295,66 @@
         })
         .await;
 }
+
+/// A request that is answered with 404.
+const UNSOUND_REQUEST: &str = "GET /nowhere HTTP/1.1\r\nHost: s\r\n\r\n";
+
+/// Sends this request 2,000 times at once on one connection and `REQUEST` on another, and waits until the latter is
+/// received. The other requests are answered at once.
+async fn receive_beside_flood(flood: &str) -> (Rc<Frontend>, usize) {
+    let received = Rc::new(Cell::new(0));
+    let (_stages, stage) = watch::channel(Stage::Serving);
+    let settings =
+        Settings { classes: vec![Class { name: "read".into(), ..Class::default() }], ..Settings::default() };
+    let (counter, other) = (received.clone(), Rc::new(Cell::new(false)));
+    let other_received = other.clone();
+    let on_event = move |event| {
+        let ClientEvent::Request(request) = event else { return };
+        if request.upstream_request.id == "1" {
+            return other_received.set(true);
+        }
+        counter.set(counter.get() + 1);
+        let _ = request.answer.send(Answer::Refused { retry_after: Duration::ZERO });
+    };
+    let lag_monitor = Rc::new(LagMonitor::start());
+    let body_memory = BodyMemory::new(64 << 20);
+    let frontend =
+        Frontend::new(&settings, Rc::default(), lag_monitor, stage, Rc::new(on_event), body_memory);
+    let frontend = Rc::new(frontend);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    // Both are in the backlog before the node runs.
+    let mut flooding = TcpStream::connect(address).await.unwrap();
+    let mut client = TcpStream::connect(address).await.unwrap();
+    let flood = flood.repeat(2_000);
+    let sending = spawn_local(async move {
+        let _ = flooding.write_all(flood.as_bytes()).await;
+        std::future::pending::<()>().await
+    });
+    settle().await;
+    let serving = spawn_local(serve(listener, frontend.clone(), 10));
+    client.write_all(REQUEST.as_bytes()).await.unwrap();
+    let waited = Instant::now();
+    while !other.get() {
+        assert!(waited.elapsed() < Duration::from_secs(60), "the request was never received");
+        tokio::task::yield_now().await;
+    }
+    sending.abort();
+    serving.abort();
+    (frontend, received.get())
+}
+
+// Guards against one client that keeps all others waiting by sending requests on one connection at full speed: between
+// any two of its requests everybody else has a turn.
+#[tokio::test]
+async fn requests_sent_at_once_on_one_connection_do_not_delay_other_clients() {
+    LocalSet::new()
+        .run_until(async {
+            let sound = REQUEST.replace("Req-Id: 1", "Req-Id: 2");
+            let (_, received) = receive_beside_flood(&sound).await;
+            assert!(received <= 16, "{received} requests came first");
+            let (frontend, _) = receive_beside_flood(UNSOUND_REQUEST).await;
+            assert!(frontend.rejections.get() <= 16, "{} requests came first", frontend.rejections.get());
+        })
+        .await;
+}
--- a/src/net/watched.rs
+++ b/src/net/watched.rs
@@ -9,6 +9,8 @@
 pub trait IoObserver {
     /// Bytes were read.
     fn on_read(&self) {}
+    /// All that has arrived has been read.
+    fn on_read_pending(&self) {}
     /// Bytes were written.
     fn on_write(&self) {}
     /// All written bytes have been passed on.
@@ -41,6 +43,9 @@
         if buf.filled().len() > filled_before {
             self.observer.on_read();
         }
+        if read.is_pending() {
+            self.observer.on_read_pending();
+        }
         read
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,6 +6,7 @@
 mod hash;
 pub mod memory;
 mod origin;
+pub mod pacing;
 mod placement;
 mod requests;
 mod retries;
