A request whose client has left is not forwarded, whatever stands unread behind it

What callers saw: a client closes its connection with much still unread, and its request is sent on afterwards. Cause: a disconnect is noticed behind the last byte that the client sent, and the node forwarded a request as soon as it was read itself (src/net/server/requests.rs, handle_request); it read what follows only afterwards, 16 KiB at a time. Change: all that has arrived is read before a request is forwarded (SharedStream::is_connected), as much as the system buffers; what is not kept is dropped as before. Evidence: a_request_whose_client_has_left_is_not_forwarded_whatever_is_unread, with 1 to 20,000 requests behind the first: failed before (forwarded with a single one behind it), holds now.

--- a/src/net/read_ahead.rs
+++ b/src/net/read_ahead.rs
@@ -2,13 +2,14 @@
 //! behind further bytes, and its close lingers where an immediate close could discard the answer.
 
 use std::cell::{Cell, RefCell};
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::task::yield_now;
 use tokio::time::{sleep, Sleep};
 
 /// Maximum number of bytes kept that arrive after a request which is being answered. Clients send one request
@@ -17,6 +18,9 @@
 const CHUNK_BYTES: usize = 4 << 10;
 /// Maximum number of chunks read in one poll, so that a flood does not starve other tasks.
 const MAX_CHUNKS_PER_POLL: usize = 4;
+/// Maximum number of bytes read to find out whether a client is still connected. It is more than the system
+/// buffers for a connection.
+const MAX_UNREAD_BYTES: usize = 16 << 20;
 /// Closing a socket with unread bytes resets the connection, and the peer may lose an answer that it has not
 /// read yet. The node therefore waits this long for the peer to close first, and reads no more than this from
 /// it meanwhile.
@@ -38,6 +42,14 @@
     lingering: RefCell<Option<Linger>>,
 }
 
+/// How far reading ahead has come.
+enum Progress {
+    Disconnected,
+    /// All that has arrived has been read.
+    Drained,
+    MoreUnread,
+}
+
 /// State of a lingering close: the sending side is shut down, and the peer has this time and this many bytes
 /// left.
 struct Linger {
@@ -73,13 +85,39 @@
 
     /// Reads ahead; ready once the client has shut down its sending side or the connection is broken.
     pub fn poll_disconnected(&self, cx: &mut Context<'_>) -> Poll<()> {
+        match self.read_ahead(cx) {
+            Progress::Disconnected => Poll::Ready(()),
+            Progress::Drained => Poll::Pending,
+            Progress::MoreUnread => {
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+        }
+    }
+
+    /// Reads all that has arrived, and returns whether the client is still connected, as far as that tells. A
+    /// disconnect is only noticed behind the last byte. A client that sends faster than the node reads counts as
+    /// disconnected after a while: it is not waiting for an answer.
+    pub async fn is_connected(&self) -> bool {
+        for _ in 0..MAX_UNREAD_BYTES / (MAX_CHUNKS_PER_POLL * CHUNK_BYTES) {
+            match poll_fn(|cx| Poll::Ready(self.read_ahead(cx))).await {
+                Progress::Disconnected => return false,
+                Progress::Drained => return true,
+                Progress::MoreUnread => yield_now().await,
+            }
+        }
+        false
+    }
+
+    /// Reads a limited number of chunks.
+    fn read_ahead(&self, cx: &mut Context<'_>) -> Progress {
         for _ in 0..MAX_CHUNKS_PER_POLL {
             if self.eof.get() {
-                return Poll::Ready(());
+                return Progress::Disconnected;
             }
             let mut chunk = [0; CHUNK_BYTES];
             let mut buf = ReadBuf::new(&mut chunk);
-            let read = ready!(self.poll_stream(cx, &mut buf));
+            let Poll::Ready(read) = self.poll_stream(cx, &mut buf) else { return Progress::Drained };
             let mut ahead = self.ahead.borrow_mut();
             if read.is_err() || buf.filled().is_empty() {
                 self.eof.set(true);
@@ -90,8 +128,10 @@
                 ahead.extend_from_slice(buf.filled());
             }
         }
-        cx.waker().wake_by_ref();
-        Poll::Pending
+        match self.eof.get() {
+            true => Progress::Disconnected,
+            false => Progress::MoreUnread,
+        }
     }
 
     fn poll_stream(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -150,7 +150,7 @@
         conn.take_turns().await;
         let deadline = conn.head_received();
         let client_closes = asks_to_close(&request);
-        let mut response = respond(&frontend, request, &conn, deadline).await;
+        let mut response = respond(&frontend, request, &conn, &shared, deadline).await;
         let closing = conn.closing.get() || *frontend.stage.borrow() >= Stage::Closing;
         if closing || client_closes || shared.overrun() || conn.body_incomplete.get() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/src/net/server/rejection.rs
+++ b/src/net/server/rejection.rs
@@ -26,6 +26,9 @@
     BodyIncomplete,
     #[error("the body did not come in time")]
     BodyTimeout,
+    /// Nobody waits for an answer.
+    #[error("the client has left")]
+    ClientLeft,
     /// A refusal: the request has not been forwarded, and its client may retry it.
     #[error("too many large requests at the same time: try again later")]
     NoMemory,
@@ -40,7 +43,7 @@
             Self::MethodNotAllowed(_) => StatusCode::METHOD_NOT_ALLOWED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+            Self::ClientLeft | Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
--- a/src/net/server/requests.rs
+++ b/src/net/server/requests.rs
@@ -5,6 +5,7 @@
 use super::{Answer, ClientEvent, ClientRequest, EventSink, Frontend};
 use crate::net::body::{read_reserved_body, BodyError};
 use crate::net::lifecycle::Stage;
+use crate::net::read_ahead::SharedStream;
 use crate::net::upstream::{UpstreamRequest, IDEMPOTENCY_KEY, MAX_BODY_BYTES, REQ_DEADLINE, REQ_ID};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -17,6 +18,7 @@
 use std::rc::Rc;
 use std::str::FromStr;
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::oneshot;
 use tokio::time::{timeout_at, Instant};
 use walkpick::policy::memory::BodyKind;
@@ -45,13 +47,14 @@
 }
 
 /// Answers a request; its body must be complete by `deadline`.
-pub async fn respond(
+pub async fn respond<S: AsyncRead + AsyncWrite + Unpin>(
     frontend: &Frontend,
     request: Request<Incoming>,
     conn: &ClientConnection,
+    stream: &SharedStream<S>,
     deadline: Instant,
 ) -> Reply {
-    let response = match handle_request(frontend, request, conn, deadline).await {
+    let response = match handle_request(frontend, request, conn, stream, deadline).await {
         Ok(response) => response,
         Err(rejection) => {
             conn.record_rejection(rejection);
@@ -72,10 +75,11 @@
 /// A response to a client.
 pub type Reply = Response<Full<Bytes>>;
 
-async fn handle_request(
+async fn handle_request<S: AsyncRead + AsyncWrite + Unpin>(
     frontend: &Frontend,
     request: Request<Incoming>,
     conn: &ClientConnection,
+    stream: &SharedStream<S>,
     deadline: Instant,
 ) -> Result<Reply, Rejection> {
     // A client's timeout runs from when it sent the request, which may have waited unread on a lagging node.
@@ -108,6 +112,9 @@
     };
     conn.body_incomplete.set(false);
     conn.phase.set(Phase::Answering);
+    if !stream.is_connected().await {
+        return Err(Rejection::ClientLeft);
+    }
     Ok(submit(frontend, (received_at, lag), *head, body).await)
 }
 
--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -358,3 +358,22 @@
         })
         .await;
 }
+
+// Guards against a request that is forwarded after its client has left: the disconnect stands behind bytes that the node
+// has not read yet.
+#[tokio::test(start_paused = true)]
+async fn a_request_whose_client_has_left_is_not_forwarded_whatever_is_unread() {
+    LocalSet::new()
+        .run_until(async {
+            for unread_requests in [1, 50, 2_000, 20_000] {
+                let requests = Rc::default();
+                let (_stages, frontend) = test_frontend(&requests);
+                let (mut client, stream) = duplex(4 << 20);
+                client.write_all(REQUEST.repeat(1 + unread_requests).as_bytes()).await.unwrap();
+                drop(client);
+                serve_connection(stream, Arrival::now(), frontend).await;
+                assert_eq!(requests.borrow().len(), 0, "{unread_requests} requests unread");
+            }
+        })
+        .await;
+}
