A request that comes again under its id does not run twice

What callers saw: an id ran twice when it came again after its client had left. Cause: the node knows a request by a number of its own (src/net/driver.rs, request_id); one that came again with the id of an earlier one, whose attempt was still out or had run, was forwarded like a new one, also where its class does not allow a second run. A request that ended without having run is forgotten at once, and forwarded when it comes again. Limit: a node remembers what it was sent itself, and not beyond a restart.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -15,6 +15,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, Instant};
 use tracing::{debug, debug_span, info, warn, Span};
+use walkpick::policy::repeats::RecentRequests;
 use walkpick::{
     Action, Availability, Balancer, CacheStatus, EndReason, Event, Name, Outcome, Request, RequestId,
     ServerEntry, ServerId, ServerList, Status, Timestamp,
@@ -76,6 +77,7 @@
     /// Set with the final answer, or when the client disconnects: no attempt starts after that.
     finished: Rc<Cell<bool>>,
     deadline: Instant,
+    repeatable: bool,
     attempts: Vec<Attempt>,
 }
 
@@ -109,6 +111,8 @@
     timers: BTreeSet<(Instant, Timer)>,
     pending_events: VecDeque<Event>,
     list: CurrentList,
+    /// Requests that must not run twice.
+    unrepeatable: RecentRequests,
 }
 
 /// The server list in use, logged so that lines can be compared with discovery's record.
@@ -141,6 +145,7 @@
             timers: BTreeSet::new(),
             pending_events: VecDeque::new(),
             list: CurrentList { seq: 0, since: Instant::now() },
+            unrepeatable: RecentRequests::default(),
         }
     }
 
@@ -237,6 +242,16 @@
     }
 
     fn accept_request(&mut self, client_request: ClientRequest) {
+        let client_id = &client_request.upstream_request.id;
+        let now = Instant::now().into_std();
+        if !client_request.repeatable && !self.unrepeatable.record(now, client_id.as_bytes()) {
+            let id = client_id.to_str().unwrap_or("?");
+            info!(target: "request", class = client_request.class_name.as_str(), "request {id} failed: one with this id may have run");
+            client_request.finished.set(true);
+            // A client that has disconnected meanwhile is not owed an answer.
+            let _ = client_request.answer.send(Answer::Failed);
+            return;
+        }
         let id = request_id(client_request.number);
         // A lagging node is late with its answers, too, so they are due earlier by its lag.
         let deadline = limit_to_shutdown(
@@ -254,6 +269,7 @@
             answer: Some(client_request.answer),
             finished: client_request.finished,
             deadline,
+            repeatable: client_request.repeatable,
             attempts: Vec::new(),
         };
         self.in_flight.insert(id.clone(), request);
@@ -338,6 +354,9 @@
         if let Some(request) = self.in_flight.get(id).filter(|request| done(request)) {
             // Its deadline may be far off, as its client chooses it.
             self.timers.remove(&answer_timer(id, request.deadline));
+            if !request.repeatable && !request.may_have_run() {
+                self.unrepeatable.forget(request.upstream_request.id.as_bytes());
+            }
             self.in_flight.remove(id);
         }
     }
@@ -455,6 +474,12 @@
 }
 
 impl InFlightRequest {
+    /// Whether a server may have executed it, or may yet.
+    fn may_have_run(&self) -> bool {
+        let never_ran = |attempt: &Attempt| attempt.end.is_some_and(|(status, ..)| status.never_ran());
+        !self.attempts.iter().all(never_ran)
+    }
+
     /// Logs how a request ended. Together with the logs of the other parties a request can be traced by its
     /// id, without a packet capture.
     fn log_end(&self, end: &str, reason: Option<EndReason>) {
--- a/src/net/driver/tests.rs
+++ b/src/net/driver/tests.rs
@@ -62,6 +62,7 @@
             key: Some(7),
             expected_work: None,
             write: false,
+            repeatable: class == 0,
             client_retry: false,
             upstream_request,
             finished: Rc::default(),
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -32,7 +32,7 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
-use walkpick::{ClassId, Name, Settings, TenantId};
+use walkpick::{ClassId, Effect, Name, Settings, TenantId};
 
 /// A connection that sends no complete head for this long is closed, so that dead ones cannot exhaust the
 /// limit.
@@ -57,6 +57,8 @@
     pub key: Option<u64>,
     pub expected_work: Option<Duration>,
     pub write: bool,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
     pub client_retry: bool,
     pub upstream_request: UpstreamRequest,
     /// Set when the client has left or has its final answer: no attempt starts after that.
@@ -86,10 +88,18 @@
 /// Receives the events of clients.
 pub type EventSink = Rc<dyn Fn(ClientEvent)>;
 
+/// What the frontend knows about a class of requests.
+#[derive(Clone, Debug)]
+pub struct RequestClass {
+    pub name: Name,
+    pub latency_target: Duration,
+    /// Whether its requests may run more than once.
+    pub repeatable: bool,
+}
+
 /// State shared by all client connections.
 pub struct Frontend {
-    /// The classes' names and latency targets.
-    pub classes: Vec<(Name, Duration)>,
+    pub classes: Vec<RequestClass>,
     pub tenants: Vec<Name>,
     pub ready: Rc<Cell<bool>>,
     pub lag_monitor: Rc<LagMonitor>,
@@ -119,7 +129,11 @@
             classes: settings
                 .classes
                 .iter()
-                .map(|class| (class.name.clone(), class.latency_target))
+                .map(|class| RequestClass {
+                    name: class.name.clone(),
+                    latency_target: class.latency_target,
+                    repeatable: class.effect == Effect::Safe,
+                })
                 .collect(),
             tenants: settings.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
             ready,
--- a/src/net/server/requests.rs
+++ b/src/net/server/requests.rs
@@ -2,7 +2,7 @@
 
 use super::connection::{ClientConnection, Phase};
 use super::rejection::Rejection;
-use super::{Answer, ClientEvent, ClientRequest, EventSink, Frontend};
+use super::{Answer, ClientEvent, ClientRequest, EventSink, Frontend, RequestClass};
 use crate::net::body::{read_reserved_body, BodyError};
 use crate::net::lifecycle::Stage;
 use crate::net::read_ahead::SharedStream;
@@ -179,7 +179,7 @@
     let id = headers.get(REQ_ID).filter(|id| !id.is_empty()).ok_or("no Req-Id")?;
     let class = text(headers, &REQ_KIND)?.ok_or("no Req-Kind")?;
     let class =
-        frontend.classes.iter().position(|(name, _)| name.as_str() == class).ok_or("unknown Req-Kind")?;
+        frontend.classes.iter().position(|known| known.name.as_str() == class).ok_or("unknown Req-Kind")?;
     let tenant = match text(headers, &REQ_OWNER)? {
         // Without configured tenants the header has no meaning.
         _ if frontend.tenants.is_empty() => None,
@@ -239,7 +239,8 @@
     let number = frontend.next_number.replace(frontend.next_number.get() + 1);
     let (sender, receiver) = oneshot::channel();
     let finished = Rc::new(Cell::new(false));
-    let (class_name, latency_target) = frontend.classes[headers.class.0].clone();
+    let RequestClass { name: class_name, latency_target, repeatable } =
+        frontend.classes[headers.class.0].clone();
     let client_request = ClientRequest {
         number,
         received_at,
@@ -252,6 +253,7 @@
         key: Some(key),
         expected_work: headers.expected_work,
         write: method == Method::PUT,
+        repeatable,
         client_retry: headers.client_retry,
         upstream_request: UpstreamRequest {
             method,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,6 +8,7 @@
 mod origin;
 pub mod pacing;
 mod placement;
+pub mod repeats;
 mod requests;
 mod retries;
 mod servers;
