Clients that stop within a further request's head no longer keep their places

Cause: only the first request of a connection, and the body of each further one, had to be complete in time (src/net/server/connection.rs); the head of a further one had the 60 s of an idle connection. Change: a head has 2.5 s from its first byte, like a first request. Evidence: a_further_request_that_stops_within_its_head_ends_its_connection_in_time: 60 s before, 2.5 s after, with idle connections kept open.

--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -34,8 +34,7 @@
 use tokio::time::Instant;
 use walkpick::{ClassId, Effect, Name, Settings, TenantId};
 
-/// A connection that sends no complete head for this long is closed, so that dead ones cannot exhaust the
-/// limit.
+/// A connection that has been idle for this long is closed, so that dead ones cannot exhaust the limit.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// A complete request of a client.
@@ -175,13 +174,15 @@
     });
     let observed = ObservedStream { stream, observer: conn.clone() };
     let mut serving = pin!(http.serve_connection(TokioIo::new(observed), service));
-    let (mut first_request_timeout, mut disconnected) =
-        (pin!(conn.first_request_timeout()), pin!(client_disconnected(&conn, &shared)));
+    let mut first_request_timeout = pin!(conn.first_request_timeout());
+    let mut head_timeout = pin!(conn.head_timeout());
+    let mut disconnected = pin!(client_disconnected(&conn, &shared));
     // An error means that the client left or sent something that is not HTTP; hyper has answered if it could.
     let stopping = tokio::select! {
         biased;
         _ = &mut serving => return conn.log_close(CloseReason::ByClient),
         () = &mut first_request_timeout => return conn.log_close(CloseReason::NoRequest),
+        () = &mut head_timeout => return conn.log_close(CloseReason::IncompleteHead),
         () = &mut disconnected => return conn.log_close(CloseReason::Left),
         _ = stage.wait_for(|stage| *stage >= Stage::Closing) => true,
         () = conn.close_requested.notified() => false,
@@ -206,6 +207,7 @@
         biased;
         _ = &mut serving => return,
         () = &mut first_request_timeout => return conn.log_close(CloseReason::NoRequest),
+        () = &mut head_timeout => return conn.log_close(CloseReason::IncompleteHead),
         () = &mut disconnected => return conn.log_close(CloseReason::Left),
         _ = exit_stage.wait_for(|stage| *stage == Stage::Exiting) => conn.log_close(CloseReason::NodeGone),
     }
--- a/src/net/server/connection.rs
+++ b/src/net/server/connection.rs
@@ -14,9 +14,9 @@
 use tracing::{debug, info};
 use walkpick::policy::pacing::AnswerPace;
 
-/// A client must send its first request completely within this time of connecting, and the body of each
-/// further one within this time of its head: a client that sends less, or nothing, is due an error or a close
-/// within 3 s.
+/// A client must send its first request completely within this time of connecting, the head of each further
+/// one within this time of its first byte, and its body within this time of its head: a client that sends
+/// less, or nothing, is due an error or a close within 3 s.
 pub const REQUEST_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Connections without a request in progress, by the time since which they have been idle.
@@ -56,6 +56,8 @@
     ByClient,
     /// No complete first request arrived in time.
     NoRequest,
+    /// The head of a further request was not complete in time.
+    IncompleteHead,
     /// The client left before it had its answer.
     Left,
     /// It was closed in favour of a connection in the backlog.
@@ -84,13 +86,16 @@
     /// An answer has been given, and the connection has not waited for bytes since.
     answered_without_pause: Cell<bool>,
     pace: Cell<AnswerPace>,
+    /// Since when a head has been arriving that is not complete.
+    head_since: Cell<Option<Instant>>,
+    head_started: Notify,
 }
 
 impl ClientConnection {
     /// A connection that has just been accepted; it is idle.
     pub fn new(frontend: Rc<Frontend>, arrival: Arrival) -> Self {
         let (close_requested, number, requests, closing, body_incomplete) = Default::default();
-        let (answered_without_pause, pace) = Default::default();
+        let (answered_without_pause, pace, head_since, head_started) = Default::default();
         let (opened_at, phase) = (arrival.waiting_since, Cell::new(Phase::Idle));
         let conn = Self {
             frontend,
@@ -104,6 +109,8 @@
             body_incomplete,
             answered_without_pause,
             pace,
+            head_since,
+            head_started,
         };
         conn.frontend.open_connections.set(conn.frontend.open_connections.get() + 1);
         conn.mark_idle();
@@ -129,17 +136,34 @@
         }
     }
 
+    /// Completes when a head has been arriving for as long as a request may take.
+    pub async fn head_timeout(&self) {
+        loop {
+            let Some(since) = self.head_since.get() else {
+                self.head_started.notified().await;
+                continue;
+            };
+            sleep_until(since + REQUEST_TIMEOUT).await;
+            if self.head_since.get() == Some(since) {
+                return;
+            }
+        }
+    }
+
     /// Notes that a request has started to arrive.
     fn mark_reading(&self) {
         if self.phase.get() == Phase::Idle {
             self.phase.set(Phase::Reading);
             self.unregister_idle();
+            self.head_since.set(Some(Instant::now()));
+            self.head_started.notify_one();
         }
     }
 
     /// Notes the head of a request and returns the time by which the request must be complete.
     pub fn head_received(&self) -> Instant {
         self.mark_reading();
+        self.head_since.set(None);
         let requests = self.requests.replace(self.requests.get() + 1);
         let from = if requests == 0 { self.opened_at } else { Instant::now() };
         from + REQUEST_TIMEOUT
--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -377,3 +377,29 @@
         })
         .await;
 }
+
+// Guards against clients that stop within the head of a further request and keep their places from all others.
+#[tokio::test(start_paused = true)]
+async fn a_further_request_that_stops_within_its_head_ends_its_connection_in_time() {
+    LocalSet::new()
+        .run_until(async {
+            let requests = Rc::default();
+            let (_stages, frontend) = test_frontend(&requests);
+            let (mut client, serving) = connect_and_serve(&frontend, &requests).await;
+            // An idle connection stays open, and each head has its own time.
+            for _ in 0..2 {
+                sleep(REQUEST_TIMEOUT * 2).await;
+                client.write_all(PARTIAL_HEAD).await.unwrap();
+                sleep(REQUEST_TIMEOUT / 2).await;
+                client.write_all(&REQUEST.as_bytes()[PARTIAL_HEAD.len()..]).await.unwrap();
+                settle().await;
+                answer_last(&requests);
+                assert!(read_available(&mut client).await.ends_with("value"));
+            }
+            client.write_all(PARTIAL_HEAD).await.unwrap();
+            let stopped = Instant::now();
+            serving.await.unwrap();
+            assert_eq!(stopped.elapsed(), REQUEST_TIMEOUT);
+        })
+        .await;
+}
