--- a/interposer/tests/soak/clients.rs
+++ b/interposer/tests/soak/clients.rs
@@ -148,3 +148,31 @@
 pub fn open_idle_connections(node: SocketAddr, size: usize) -> Vec<TcpStream> {
     (0..size).filter_map(|_| TcpStream::connect(node).ok()).collect()
 }
+
+/// How much of a body a client sends before it stops, out of how much.
+const PARTIAL_BODY_BYTES: usize = 60_000;
+const BODY_BYTES: usize = 64 << 10;
+/// How long clients that have stopped stay.
+const STOPPED_FOR: Duration = Duration::from_secs(1);
+
+/// Opens this many connections, sends a part of a large request on each and stays for a while, again and again.
+pub fn stop_within_requests(context: &Context, size: usize) {
+    let request = format!(
+        "PUT /api/1 HTTP/1.1\r\nHost: s\r\nReq-Id: stopped\r\nReq-Kind: keyed\r\nIdempotency-Key: 1\r\n\
+         Req-Deadline-Ms: 1000\r\nContent-Length: {BODY_BYTES}\r\n\r\n{}",
+        "x".repeat(PARTIAL_BODY_BYTES)
+    );
+    while size > 0 && context.phases.terminated().is_none() {
+        let stopped: Vec<_> = (0..size).filter_map(|_| send_partially(context.node, &request)).collect();
+        std::thread::sleep(STOPPED_FOR);
+        drop(stopped);
+    }
+}
+
+fn send_partially(node: SocketAddr, request: &str) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect(node).ok()?;
+    stream.set_write_timeout(Some(STOPPED_FOR)).ok()?;
+    // The node may refuse the request before its end.
+    let _ = stream.write_all(request.as_bytes());
+    Some(stream)
+}
--- a/interposer/tests/soak/judges.rs
+++ b/interposer/tests/soak/judges.rs
@@ -1,5 +1,6 @@
 //! The checks of a run, against what clients and servers observed and never against what the node reports.
 
+use crate::node_common::memory::MIN_MEMORY_KIB;
 use crate::record::{ClientEnd, Request};
 use crate::run::Outcome;
 use crate::schedule::Schedule;
@@ -39,6 +40,9 @@
     {
         violations.push(format!("a peer with an incomplete request waited for {waited:?}"));
     }
+    if let Some(peak) = outcome.peak_memory_kib.filter(|peak| *peak > MIN_MEMORY_KIB) {
+        violations.push(format!("the node used {peak} KiB of the {MIN_MEMORY_KIB} KiB of its settings"));
+    }
     for (id, request) in outcome.record.requests() {
         let found = judge_request(&request, outcome, slack);
         violations
--- a/src/net/resources.rs
+++ b/src/net/resources.rs
@@ -10,7 +10,7 @@
 use tracing::{info, warn};
 
 /// Interval of the samples.
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
+const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
 /// The peak is logged each time it reaches a further one of this many parts of the limit.
 const LOGGED_PARTS: u64 = 8;
 /// From this part of the limit on, it is logged as a warning.
