--- a/src/net/server/tests.rs
+++ b/src/net/server/tests.rs
@@ -11,25 +11,23 @@
 
 /// A frontend that passes its requests to `requests`, and the sender of its shutdown stages.
 fn test_frontend(requests: &Rc<RefCell<Vec<ClientRequest>>>) -> (watch::Sender<Stage>, Rc<Frontend>) {
+    let requests = requests.clone();
+    frontend_with(move |request| requests.borrow_mut().push(request))
+}
+
+/// A frontend that passes its requests to `on_request`, and the sender of its shutdown stages.
+fn frontend_with(on_request: impl Fn(ClientRequest) + 'static) -> (watch::Sender<Stage>, Rc<Frontend>) {
     let (stages, stage) = watch::channel(Stage::Serving);
     let settings =
         Settings { classes: vec![Class { name: "read".into(), ..Class::default() }], ..Settings::default() };
-    let requests = requests.clone();
     let on_event = move |event| match event {
-        ClientEvent::Request(request) => requests.borrow_mut().push(*request),
+        ClientEvent::Request(request) => on_request(*request),
         ClientEvent::Disconnected(_) => {}
     };
-    (
-        stages,
-        Rc::new(Frontend::new(
-            &settings,
-            Rc::default(),
-            Rc::new(LagMonitor::start()),
-            stage,
-            Rc::new(on_event),
-            BodyMemory::new(64 << 20),
-        )),
-    )
+    let (lag_monitor, body_memory) = (Rc::new(LagMonitor::start()), BodyMemory::new(64 << 20));
+    let frontend =
+        Frontend::new(&settings, Rc::default(), lag_monitor, stage, Rc::new(on_event), body_memory);
+    (stages, Rc::new(frontend))
 }
 
 const REQUEST: &str = "GET /api/1 HTTP/1.1\r\nReq-Id: 1\r\nReq-Kind: read\r\nReq-Deadline-Ms: 900\r\n\r\n";
@@ -302,25 +300,15 @@
 /// Sends this request 2,000 times at once on one connection and `REQUEST` on another, and waits until the latter is
 /// received. The other requests are answered at once.
 async fn receive_beside_flood(flood: &str) -> (Rc<Frontend>, usize) {
-    let received = Rc::new(Cell::new(0));
-    let (_stages, stage) = watch::channel(Stage::Serving);
-    let settings =
-        Settings { classes: vec![Class { name: "read".into(), ..Class::default() }], ..Settings::default() };
-    let (counter, other) = (received.clone(), Rc::new(Cell::new(false)));
-    let other_received = other.clone();
-    let on_event = move |event| {
-        let ClientEvent::Request(request) = event else { return };
+    let (received, other) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(false)));
+    let (counter, other_received) = (received.clone(), other.clone());
+    let (_stages, frontend) = frontend_with(move |request| {
         if request.upstream_request.id == "1" {
             return other_received.set(true);
         }
         counter.set(counter.get() + 1);
         let _ = request.answer.send(Answer::Refused { retry_after: Duration::ZERO });
-    };
-    let lag_monitor = Rc::new(LagMonitor::start());
-    let body_memory = BodyMemory::new(64 << 20);
-    let frontend =
-        Frontend::new(&settings, Rc::default(), lag_monitor, stage, Rc::new(on_event), body_memory);
-    let frontend = Rc::new(frontend);
+    });
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     // Both are in the backlog before the node runs.
