--- a/review/stand-ins-2/cache_server.rs
+++ b/review/stand-ins-2/cache_server.rs
@@ -5,6 +5,7 @@
 use std::collections::HashSet;
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -37,6 +38,8 @@
     /// How long it works on a request.
     work: Duration,
     sent_ids: SentIds,
+    /// How many requests it holds.
+    held: AtomicUsize,
     receipts: Mutex<Vec<Receipt>>,
     record: Record,
 }
@@ -57,6 +60,7 @@
             name: name.to_owned(),
             work,
             sent_ids: sent_ids.clone(),
+            held: AtomicUsize::new(0),
             receipts: Mutex::default(),
             record: record.clone(),
         });
@@ -71,6 +75,11 @@
         Ok(server)
     }
 
+    /// How many requests it holds.
+    pub fn held(&self) -> usize {
+        self.shared.held.load(Ordering::SeqCst)
+    }
+
     pub fn receipts(&self) -> Vec<Receipt> {
         self.shared.receipts.lock().expect("no thread panics while it holds the receipts").clone()
     }
@@ -102,7 +111,9 @@
             self.record.add(format!("server {name}: no client sent {id}"));
             return response("400 Bad Request", "unknown id");
         }
+        self.held.fetch_add(1, Ordering::SeqCst);
         thread::sleep(self.work);
+        self.held.fetch_sub(1, Ordering::SeqCst);
         response("200 OK", &answer_body(target, &id))
     }
 }
--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -1,5 +1,6 @@
 //! The cases, one module each, and what they share.
 
+mod cold_join;
 mod crowded_out;
 
 use crate::cache_server::{CacheServer, SentIds};
@@ -41,6 +42,7 @@
     /// Plays the case with this name.
     pub fn play(&self, name: &str) -> io::Result<Verdict> {
         match name {
+            "cold-join" => cold_join::play(self),
             "crowded-out" => crowded_out::play(self),
             _ => Err(io::Error::other(format!("there is no case {name}"))),
         }
@@ -53,8 +55,8 @@
         address: SocketAddr,
         config: Deployment,
     ) -> io::Result<Node> {
-        let Deployment { membership_mode, memory_mb, sockets } = config;
-        let settings = settings(membership_mode);
+        let Deployment { membership_mode, weights, memory_mb, sockets } = config;
+        let settings = settings(membership_mode, weights);
         let config = NodeConfig { memory_mb, sockets, settings, known: discovery.whole_list() };
         let mut node = Node::start(&self.run, &self.folder, address, config, &self.record)?;
         node.wait_until_ready()?;
@@ -66,6 +68,8 @@
 struct Deployment {
     /// `automatic` or `subscribe`.
     membership_mode: &'static str,
+    /// `nominal` or `live`.
+    weights: &'static str,
     memory_mb: u32,
     sockets: u32,
 }
@@ -87,13 +91,14 @@
 }
 
 /// Settings of a small deployment: one node, one zone, a class of reads and one that must not run twice.
-fn settings(membership_mode: &str) -> String {
+fn settings(membership_mode: &str, weights: &str) -> String {
     format!(
         r#"{{"az":"a","zones":["a"],"balancers":1,"stage":0,"tiers":["cache-fleet"],"shapes":["m2"],
-  "weights":"nominal","value_by":"request","membership_mode":"{membership_mode}",
+  "weights":"{weights}","value_by":"request","membership_mode":"{membership_mode}",
   "family":"cache","family_info":{{"mode":"through"}},
   "lanes":[
     {{"name":"read","effect":"safe","promise_us":500000,"hard_limit_us":2000000,"worth":1.0}},
+    {{"name":"catalogue","effect":"safe","promise_us":1200000,"hard_limit_us":4000000,"worth":1.0}},
     {{"name":"charge","effect":"unsafe","promise_us":1200000,"hard_limit_us":3000000,"worth":8.0}}],
   "limits":{{"cancelling":true,"connect_timeout_us":200000,"keepalive_us":15000000,"most_tries":5,
     "probing":false,"second_copies":false,"streams_per_conn":1,"max_retry_after_us":2000000}},
--- a/review/stand-ins-2/cases/crowded_out.rs
+++ b/review/stand-ins-2/cases/crowded_out.rs
@@ -29,7 +29,7 @@
     let discovery = Discovery::new(Duration::ZERO, record);
     start_servers(3, Duration::from_millis(5), &discovery, &sent_ids, record)?;
     let address = discovery.open_address()?;
-    let deployment = Deployment { membership_mode: "automatic", memory_mb: MEMORY_MB, sockets: SOCKETS };
+    let deployment = Deployment { membership_mode: "automatic", weights: "nominal", memory_mb: MEMORY_MB, sockets: SOCKETS };
     let node = case.start_node(&discovery, address.address, deployment)?;
     let mut findings = Vec::new();
     for round in 0..ROUNDS {
--- a/review/stand-ins-2/discovery.rs
+++ b/review/stand-ins-2/discovery.rs
@@ -22,15 +22,16 @@
     server: CacheServer,
     health: &'static str,
     born_ms: u64,
+    share: f64,
     version: u64,
 }
 
 impl Entry {
     fn json(&self) -> String {
-        let Self { server, health, born_ms, .. } = self;
+        let Self { server, health, born_ms, share, .. } = self;
         let (name, dial) = (&server.name, server.address);
         format!(
-            r#"{{"host":"{name}","dial":"{dial}","site":"a","class":"m2","block":1,"health":"{health}","share":1.0,"born_ms":{born_ms}}}"#
+            r#"{{"host":"{name}","dial":"{dial}","site":"a","class":"m2","block":1,"health":"{health}","share":{share:.4},"born_ms":{born_ms}}}"#
         )
     }
 }
@@ -90,7 +91,7 @@
         let mut list = self.shared.list();
         list.version += 1;
         let version = list.version;
-        list.entries.push(Entry { server: server.clone(), health: "ready", born_ms, version });
+        list.entries.push(Entry { server: server.clone(), health: "ready", born_ms, share: 1.0, version });
         self.shared.changed.notify_all();
     }
 
@@ -106,6 +107,17 @@
         self.shared.changed.notify_all();
     }
 
+    /// Tells the share of each server anew.
+    pub fn update_shares(&self, share: impl Fn(&CacheServer) -> f64) {
+        let mut list = self.shared.list();
+        list.version += 1;
+        let version = list.version;
+        for entry in &mut list.entries {
+            (entry.share, entry.version) = (share(&entry.server), version);
+        }
+        self.shared.changed.notify_all();
+    }
+
     /// The whole list, in the form of the configuration's `known`.
     pub fn whole_list(&self) -> String {
         self.shared.list().json(None)
