--- a/review/stand-ins-2/cache_server.rs
+++ b/review/stand-ins-2/cache_server.rs
@@ -25,18 +25,31 @@
 }
 
 /// A request that reached a cache server.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Receipt {
-    pub id: String,
     /// When its first byte was read.
     pub began_at: Instant,
 }
 
+/// What a cache server does for a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    pub time: Duration,
+    /// Length of the answer's body, which is at least as long as the text that names the request.
+    pub answer_length: usize,
+}
+
+impl Work {
+    /// A request that takes this time and has a short answer.
+    pub fn taking(time: Duration) -> Self {
+        Self { time, answer_length: 0 }
+    }
+}
+
 /// What the threads of a cache server share.
 struct Shared {
     name: String,
-    /// How long it works on a request.
-    work: Duration,
+    work: Work,
     sent_ids: SentIds,
     /// How many requests it holds.
     held: AtomicUsize,
@@ -53,8 +66,8 @@
 }
 
 impl CacheServer {
-    /// Starts a cache server that takes this long for a request.
-    pub fn start(name: &str, work: Duration, sent_ids: &SentIds, record: &Record) -> io::Result<Self> {
+    /// Starts a cache server.
+    pub fn start(name: &str, work: Work, sent_ids: &SentIds, record: &Record) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let shared = Arc::new(Shared {
             name: name.to_owned(),
@@ -102,7 +115,7 @@
         let (name, target) = (&self.name, request.second_word());
         self.record.add(format!("server {name}: got {id} for {target}, deadline {deadline_ms} ms"));
         let began_at = request.began_at.unwrap_or_else(Instant::now);
-        let receipt = Receipt { id: id.clone(), began_at };
+        let receipt = Receipt { began_at };
         self.receipts.lock().expect("no thread panics while it holds the receipts").push(receipt);
         if id.is_empty() {
             return response("404 Not Found", "no id");
@@ -112,15 +125,16 @@
             return response("400 Bad Request", "unknown id");
         }
         self.held.fetch_add(1, Ordering::SeqCst);
-        thread::sleep(self.work);
+        thread::sleep(self.work.time);
         self.held.fetch_sub(1, Ordering::SeqCst);
-        response("200 OK", &answer_body(target, &id))
+        let text = answer_start(target, &id);
+        response("200 OK", &format!("{text:-<length$}", length = self.work.answer_length))
     }
 }
 
-/// The body of the answer to a request: no other request has the same.
-pub fn answer_body(target: &str, id: &str) -> String {
-    format!("the value at {target} for {id}")
+/// How the body of the answer to a request begins: no other request has the same.
+pub fn answer_start(target: &str, id: &str) -> String {
+    format!("the value at {target} for {id} ")
 }
 
 fn response(status: &str, body: &str) -> String {
--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -2,8 +2,12 @@
 
 mod cold_join;
 mod crowded_out;
+mod long_messages;
+mod minute_rest;
+mod quick_reloads;
+mod restart_in_outage;
 
-use crate::cache_server::{CacheServer, SentIds};
+use crate::cache_server::{CacheServer, SentIds, Work};
 use crate::discovery::Discovery;
 use crate::node::{Node, NodeConfig};
 use crate::record::Record;
@@ -44,6 +48,10 @@
         match name {
             "cold-join" => cold_join::play(self),
             "crowded-out" => crowded_out::play(self),
+            "long-messages" => long_messages::play(self),
+            "minute-rest" => minute_rest::play(self),
+            "quick-reloads" => quick_reloads::play(self),
+            "restart-in-outage" => restart_in_outage::play(self),
             _ => Err(io::Error::other(format!("there is no case {name}"))),
         }
     }
@@ -53,11 +61,16 @@
         &self,
         discovery: &Discovery,
         address: SocketAddr,
-        config: Deployment,
+        deployment: Deployment,
     ) -> io::Result<Node> {
-        let Deployment { membership_mode, weights, memory_mb, sockets } = config;
+        self.start_node_with(discovery.whole_list(), address, deployment)
+    }
+
+    /// Starts a node that knows this list, and waits until it is ready.
+    fn start_node_with(&self, known: String, address: SocketAddr, deployment: Deployment) -> io::Result<Node> {
+        let Deployment { membership_mode, weights, memory_mb, sockets } = deployment;
         let settings = settings(membership_mode, weights);
-        let config = NodeConfig { memory_mb, sockets, settings, known: discovery.whole_list() };
+        let config = NodeConfig { memory_mb, sockets, settings, known };
         let mut node = Node::start(&self.run, &self.folder, address, config, &self.record)?;
         node.wait_until_ready()?;
         Ok(node)
@@ -65,6 +78,7 @@
 }
 
 /// What differs between the deployments of the cases.
+#[derive(Clone, Copy)]
 struct Deployment {
     /// `automatic` or `subscribe`.
     membership_mode: &'static str,
@@ -77,7 +91,7 @@
 /// Starts some cache servers and lists them.
 fn start_servers(
     count: usize,
-    work: std::time::Duration,
+    work: Work,
     discovery: &Discovery,
     sent_ids: &SentIds,
     record: &Record,
@@ -99,6 +113,8 @@
   "lanes":[
     {{"name":"read","effect":"safe","promise_us":500000,"hard_limit_us":2000000,"worth":1.0}},
     {{"name":"catalogue","effect":"safe","promise_us":1200000,"hard_limit_us":4000000,"worth":1.0}},
+    {{"name":"plan-change","effect":"keyed","dedup_scope":"all","repeat_window_us":3000000,
+      "promise_us":1500000,"hard_limit_us":5000000,"worth":2.0}},
     {{"name":"charge","effect":"unsafe","promise_us":1200000,"hard_limit_us":3000000,"worth":8.0}}],
   "limits":{{"cancelling":true,"connect_timeout_us":200000,"keepalive_us":15000000,"most_tries":5,
     "probing":false,"second_copies":false,"streams_per_conn":1,"max_retry_after_us":2000000}},
--- a/review/stand-ins-2/cases/cold_join.rs
+++ b/review/stand-ins-2/cases/cold_join.rs
@@ -1,7 +1,7 @@
 //! A new cache server joins a busy fleet whose lists tell live weights.
 
 use super::{start_servers, Case, Deployment, Verdict};
-use crate::cache_server::{CacheServer, SentIds};
+use crate::cache_server::{CacheServer, SentIds, Work};
 use crate::client::{connect, ClientRequest};
 use crate::discovery::Discovery;
 use crate::record::Record;
@@ -40,7 +40,7 @@
 pub fn play(case: &Case) -> io::Result<Verdict> {
     let (sent_ids, record) = (SentIds::default(), &case.record);
     let discovery = Discovery::new(Duration::ZERO, record);
-    let mut servers = start_servers(SERVERS, REQUEST_TIME, &discovery, &sent_ids, record)?;
+    let mut servers = start_servers(SERVERS, Work::taking(REQUEST_TIME), &discovery, &sent_ids, record)?;
     let address = discovery.open_address()?;
     let deployment =
         Deployment { membership_mode: "automatic", weights: "live", memory_mb: MEMORY_MB, sockets: SOCKETS };
@@ -53,7 +53,7 @@
     update_lists(BEFORE_JOIN, &discovery, &servers, &mut held, record);
     let joined_at = Instant::now();
     if case.trouble {
-        let server = CacheServer::start("s-new", REQUEST_TIME, &sent_ids, record)?;
+        let server = CacheServer::start("s-new", Work::taking(REQUEST_TIME), &sent_ids, record)?;
         discovery.add(&server, unix_ms()?);
         record.add("discovery: s-new has started and is ready");
         servers.push(server);
@@ -91,7 +91,7 @@
             next_at += interval;
             count += 1;
             let id = format!("{:016x}", (number << 32) + count);
-            let request = ClientRequest { id, kind: "catalogue", key: spread(number, count), deadline: DEADLINE };
+            let request = ClientRequest { id, kind: "catalogue", key: spread(number, count), deadline: DEADLINE, value: None };
             let sent_at = request.write(&mut stream, None, &sent_ids)?;
             request.wait(&stream, sent_at, &record);
         }
--- a/review/stand-ins-2/cases/crowded_out.rs
+++ b/review/stand-ins-2/cases/crowded_out.rs
@@ -1,7 +1,7 @@
 //! Clients that stop in the middle of a request and stay; beside them, sound clients on new connections.
 
 use super::{start_servers, Case, Deployment, Verdict};
-use crate::cache_server::SentIds;
+use crate::cache_server::{SentIds, Work};
 use crate::client::{connect, ClientRequest};
 use crate::discovery::Discovery;
 use crate::http::Ending;
@@ -27,7 +27,7 @@
 pub fn play(case: &Case) -> io::Result<Verdict> {
     let (sent_ids, record) = (SentIds::default(), &case.record);
     let discovery = Discovery::new(Duration::ZERO, record);
-    start_servers(3, Duration::from_millis(5), &discovery, &sent_ids, record)?;
+    start_servers(3, Work::taking(Duration::from_millis(5)), &discovery, &sent_ids, record)?;
     let address = discovery.open_address()?;
     let deployment = Deployment { membership_mode: "automatic", weights: "nominal", memory_mb: MEMORY_MB, sockets: SOCKETS };
     let node = case.start_node(&discovery, address.address, deployment)?;
@@ -42,7 +42,7 @@
             .map(|number| {
                 let (address, sent_ids, record) = (node.address, sent_ids.clone(), record.clone());
                 let id = format!("{:016x}", 0x6000 + round * SOUND_CLIENTS + number);
-                let request = ClientRequest { id, kind: "read", key: number, deadline: DEADLINE };
+                let request = ClientRequest { id, kind: "read", key: number, deadline: DEADLINE, value: None };
                 thread::spawn(move || -> io::Result<Option<String>> {
                     let mut stream = connect(address)?;
                     let sent_at = request.write(&mut stream, None, &sent_ids)?;
@@ -71,7 +71,7 @@
 /// connection.
 fn finding(request: &ClientRequest, ending: &Ending) -> Option<String> {
     match ending {
-        Ending::Answered { status, body } if status == "200" && !request.is_served_by(body) => {
+        Ending::Answered { status, body, .. } if status == "200" && !request.is_answered_by(body) => {
             Some(format!("{} got a body that is not its own", request.id))
         }
         Ending::Answered { .. } | Ending::Closed(_) => None,
--- a/review/stand-ins-2/client.rs
+++ b/review/stand-ins-2/client.rs
@@ -1,6 +1,6 @@
 //! A client's requests.
 
-use crate::cache_server::{answer_body, SentIds};
+use crate::cache_server::{answer_start, SentIds};
 use crate::http::{read_answer, Ending};
 use crate::record::Record;
 use std::io::{self, Write};
@@ -19,6 +19,8 @@
     pub kind: &'static str,
     pub key: u64,
     pub deadline: Duration,
+    /// The value that it writes; a request without one reads.
+    pub value: Option<Vec<u8>>,
 }
 
 impl ClientRequest {
@@ -27,12 +29,22 @@
     }
 
     /// The request as it stands on the wire.
-    pub fn text(&self) -> String {
+    fn bytes(&self) -> Vec<u8> {
         let Self { id, kind, deadline, .. } = self;
         let (target, deadline_ms) = (self.target(), deadline.as_millis());
-        format!(
-            "GET {target} HTTP/1.1\r\nHost: service.internal\r\nReq-Id: {id}\r\nReq-Kind: {kind}\r\nReq-Deadline-Ms: {deadline_ms}\r\n\r\n"
-        )
+        let headers = format!(
+            "Host: service.internal\r\nReq-Id: {id}\r\nReq-Kind: {kind}\r\nReq-Deadline-Ms: {deadline_ms}\r\n"
+        );
+        match &self.value {
+            None => format!("GET {target} HTTP/1.1\r\n{headers}\r\n").into_bytes(),
+            Some(value) => {
+                let length = value.len();
+                let head = format!(
+                    "PUT {target} HTTP/1.1\r\n{headers}Idempotency-Key: {id}\r\nContent-Length: {length}\r\n\r\n"
+                );
+                [head.as_bytes(), value].concat()
+            }
+        }
     }
 
     /// Writes the request, with a pause after its first half if one is given. Returns when its last byte was
@@ -44,13 +56,13 @@
         sent_ids: &SentIds,
     ) -> io::Result<Instant> {
         sent_ids.add(&self.id);
-        let text = self.text();
-        let half = if pause.is_some() { text.len() / 2 } else { 0 };
-        stream.write_all(&text.as_bytes()[..half])?;
+        let bytes = self.bytes();
+        let half = if pause.is_some() { bytes.len() / 2 } else { 0 };
+        stream.write_all(&bytes[..half])?;
         if let Some(pause) = pause {
             std::thread::sleep(pause);
         }
-        stream.write_all(&text.as_bytes()[half..])?;
+        stream.write_all(&bytes[half..])?;
         Ok(Instant::now())
     }
 
@@ -58,13 +70,13 @@
     pub fn wait(&self, stream: &TcpStream, sent_at: Instant, record: &Record) -> Ending {
         let ending = read_answer(stream, sent_at + self.deadline + LATE_ANSWER + SOCKET_SLACK);
         let after_ms = sent_at.elapsed().as_millis();
-        record.add(format!("client: {} after {after_ms} ms: {ending:?}", self.id));
+        record.add(format!("client: {} after {after_ms} ms: {ending}", self.id));
         ending
     }
 
     /// Whether this is the body that a cache server gave for this request.
-    pub fn is_served_by(&self, body: &str) -> bool {
-        body == answer_body(&self.target(), &self.id)
+    pub fn is_answered_by(&self, body: &[u8]) -> bool {
+        body.starts_with(answer_start(&self.target(), &self.id).as_bytes())
     }
 }
 
--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -1,6 +1,7 @@
 //! Reads HTTP messages from a blocking socket.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::io::{self, BufRead, BufReader, ErrorKind, Read};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -56,13 +57,23 @@
 /// How a client's wait for an answer ended.
 #[derive(Clone, Debug)]
 pub enum Ending {
-    Answered { status: String, body: String },
+    Answered { status: String, body: Vec<u8>, closes: bool },
     /// The connection was closed or reset without a whole answer.
     Closed(String),
     /// Nothing came in time.
     Silent,
 }
 
+impl fmt::Display for Ending {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Answered { status, body, .. } => write!(f, "{status} and {} bytes", body.len()),
+            Self::Closed(how) => write!(f, "no answer, {how}"),
+            Self::Silent => write!(f, "no answer in time"),
+        }
+    }
+}
+
 /// Waits until `until` for an answer.
 pub fn read_answer(stream: &TcpStream, until: Instant) -> Ending {
     const SHORTEST_WAIT: Duration = Duration::from_millis(1);
@@ -72,7 +83,8 @@
     match answer {
         Ok(Some(answer)) => Ending::Answered {
             status: answer.second_word().to_owned(),
-            body: String::from_utf8_lossy(&answer.body).into_owned(),
+            closes: answer.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close")),
+            body: answer.body,
         },
         Ok(None) => Ending::Closed("closed".to_owned()),
         Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => Ending::Silent,
--- a/review/stand-ins-2/node.rs
+++ b/review/stand-ins-2/node.rs
@@ -10,6 +10,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// In the temporary folder: the process to end if the case is interrupted.
+const PID_FILE: &str = "node.pid";
 /// A node has to be ready within this time.
 const READY_WITHIN: Duration = Duration::from_secs(30);
 const READY_INTERVAL: Duration = Duration::from_millis(50);
@@ -57,6 +59,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        fs::write(folder.join(PID_FILE), process.id().to_string())?;
         record.add(format!("node: started with `{run}` at {address}"));
         Ok(Self { address, process, config, config_path, record: record.clone() })
     }
@@ -92,6 +95,10 @@
         matches!(self.process.try_wait(), Ok(None))
     }
 
+    pub fn process_id(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Replaces the configuration by one that names this address of discovery, and sends SIGHUP.
     pub fn reload(&self, discovery: SocketAddr) -> io::Result<()> {
         let replacement = self.config_path.with_extension("new");
@@ -111,9 +118,10 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
-        // The node may have ended already.
+        // The node may have ended already, and nobody needs the file then.
         let _ = self.process.kill();
         let _ = self.process.wait();
+        let _ = fs::remove_file(self.config_path.with_file_name(PID_FILE));
         self.record.add("node: killed at the end of the case");
     }
 }
