--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# A node is killed and started again while discovery is down and a cache server drains. See claim.txt.
+# Clients that send a request every minute and write slowly. See claim.txt.
 folder=$(dirname "$0")
-exec "$folder/../stand-ins-2/play.sh" restart-in-outage "$folder"
+exec "$folder/../stand-ins-2/play.sh" minute-rest "$folder"
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Sound clients beside clients that stop in the middle of a request and stay. See claim.txt.
+# Cache servers that sometimes answer twice, and a node that is held up now and then. See claim.txt.
 folder=$(dirname "$0")
-exec "$folder/../stand-ins-2/play.sh" crowded-out "$folder"
+exec "$folder/../stand-ins-2/play.sh" second-answer "$folder"
--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -6,6 +6,7 @@
 mod minute_rest;
 mod quick_reloads;
 mod restart_in_outage;
+mod second_answer;
 
 use crate::cache_server::{CacheServer, SentIds, Work};
 use crate::discovery::Discovery;
@@ -52,6 +53,7 @@
             "minute-rest" => minute_rest::play(self),
             "quick-reloads" => quick_reloads::play(self),
             "restart-in-outage" => restart_in_outage::play(self),
+            "second-answer" => second_answer::play(self),
             _ => Err(io::Error::other(format!("there is no case {name}"))),
         }
     }
@@ -112,6 +114,7 @@
   "family":"cache","family_info":{{"mode":"through"}},
   "lanes":[
     {{"name":"read","effect":"safe","promise_us":500000,"hard_limit_us":2000000,"worth":1.0}},
+    {{"name":"quick","effect":"safe","promise_us":150000,"hard_limit_us":1000000,"worth":1.0}},
     {{"name":"catalogue","effect":"safe","promise_us":1200000,"hard_limit_us":4000000,"worth":1.0}},
     {{"name":"plan-change","effect":"keyed","dedup_scope":"all","repeat_window_us":3000000,
       "promise_us":1500000,"hard_limit_us":5000000,"worth":2.0}},
--- a/review/stand-ins-2/cases/long_messages.rs
+++ b/review/stand-ins-2/cases/long_messages.rs
@@ -19,7 +19,7 @@
 const SOCKETS: u32 = 1_024;
 const KIB_PER_MB: u64 = 1_024;
 /// Under a third of the descriptors.
-const CLIENTS: u64 = 280;
+const CLIENTS: u64 = 320;
 const SERVERS: usize = 40;
 /// A body holds 64 KiB at most.
 const LONG_BODY: usize = 20_000;
@@ -27,7 +27,7 @@
 const REQUEST_TIME: Duration = Duration::from_millis(100);
 const DEADLINE: Duration = Duration::from_millis(2_000);
 /// How long a client rests between two requests.
-const REST: Duration = Duration::from_millis(600);
+const REST: Duration = Duration::from_millis(500);
 const PLAYED: Duration = Duration::from_secs(75);
 const MEMORY_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -35,7 +35,7 @@
     let (sent_ids, record) = (SentIds::default(), &case.record);
     let discovery = Discovery::new(Duration::ZERO, record);
     let length = if case.trouble { LONG_BODY } else { SHORT_BODY };
-    let work = Work { time: REQUEST_TIME, answer_length: length };
+    let work = Work { time: REQUEST_TIME, answer_length: length, second_answer_each: None };
     start_servers(SERVERS, work, &discovery, &sent_ids, record)?;
     let address = discovery.open_address()?;
     let deployment =
