--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Cache servers that sometimes answer twice, and a node that is held up now and then. See claim.txt.
+# Clients whose requests and answers are long, on a node with little memory. See claim.txt.
 folder=$(dirname "$0")
-exec "$folder/../stand-ins-2/play.sh" second-answer "$folder"
+exec "$folder/../stand-ins-2/play.sh" long-messages "$folder"
--- a/review/stand-ins-2/cache_server.rs
+++ b/review/stand-ins-2/cache_server.rs
@@ -2,7 +2,7 @@
 
 use crate::http::Message;
 use crate::record::Record;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -10,9 +10,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// How long after an answer the second one comes.
-const SECOND_ANSWER_AFTER: Duration = Duration::from_millis(6);
-
 /// The ids of the requests that clients have sent.
 #[derive(Clone, Default)]
 pub struct SentIds(Arc<Mutex<HashSet<String>>>);
@@ -40,14 +37,12 @@
     pub time: Duration,
     /// Length of the answer's body, which is at least as long as the text that names the request.
     pub answer_length: usize,
-    /// Each answer of which the count is a multiple of this comes a second time.
-    pub second_answer_each: Option<usize>,
 }
 
 impl Work {
     /// A request that takes this time and has a short answer.
     pub fn taking(time: Duration) -> Self {
-        Self { time, answer_length: 0, second_answer_each: None }
+        Self { time, answer_length: 0 }
     }
 }
 
@@ -59,8 +54,6 @@
     /// How many requests it holds.
     held: AtomicUsize,
     receipts: Mutex<Vec<Receipt>>,
-    /// How long after each answer that came twice the second one was written, by request id.
-    second_answers: Mutex<HashMap<String, Duration>>,
     record: Record,
 }
 
@@ -82,7 +75,6 @@
             sent_ids: sent_ids.clone(),
             held: AtomicUsize::new(0),
             receipts: Mutex::default(),
-            second_answers: Mutex::default(),
             record: record.clone(),
         });
         let server = Self { name: name.to_owned(), address: listener.local_addr()?, shared: shared.clone() };
@@ -101,11 +93,6 @@
         self.shared.held.load(Ordering::SeqCst)
     }
 
-    /// How long after the answer to this request the second one was written, if it came twice.
-    pub fn second_answer_after(&self, id: &str) -> Option<Duration> {
-        self.shared.second_answers.lock().expect("no thread panics while it holds these").get(id).copied()
-    }
-
     pub fn receipts(&self) -> Vec<Receipt> {
         self.shared.receipts.lock().expect("no thread panics while it holds the receipts").clone()
     }
@@ -118,29 +105,10 @@
         while let Some(request) = Message::read(&mut reader)? {
             let answer = self.answer(&request);
             stream.write_all(answer.as_bytes())?;
-            if self.answers_twice() {
-                self.answer_again(&request, &answer, &mut stream)?;
-            }
         }
         Ok(())
     }
 
-    fn answers_twice(&self) -> bool {
-        let count = self.receipts.lock().expect("no thread panics while it holds the receipts").len();
-        self.work.second_answer_each.is_some_and(|each| count % each == 0)
-    }
-
-    /// Writes an answer once more, some milliseconds after the first time.
-    fn answer_again(&self, request: &Message, answer: &str, stream: &mut TcpStream) -> io::Result<()> {
-        let (id, answered_at) = (request.header("req-id").unwrap_or("").to_owned(), Instant::now());
-        thread::sleep(SECOND_ANSWER_AFTER);
-        stream.write_all(answer.as_bytes())?;
-        let (name, after) = (&self.name, answered_at.elapsed());
-        self.record.add(format!("server {name}: answered {id} again after {} us", after.as_micros()));
-        self.second_answers.lock().expect("no thread panics while it holds these").insert(id, after);
-        Ok(())
-    }
-
     fn answer(&self, request: &Message) -> String {
         let id = request.header("req-id").unwrap_or("").to_owned();
         let deadline_ms = request.header("req-deadline-ms").unwrap_or("none");
--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -5,8 +5,6 @@
 mod long_messages;
 mod minute_rest;
 mod quick_reloads;
-mod restart_in_outage;
-mod second_answer;
 
 use crate::cache_server::{CacheServer, SentIds, Work};
 use crate::discovery::Discovery;
@@ -52,8 +50,6 @@
             "long-messages" => long_messages::play(self),
             "minute-rest" => minute_rest::play(self),
             "quick-reloads" => quick_reloads::play(self),
-            "restart-in-outage" => restart_in_outage::play(self),
-            "second-answer" => second_answer::play(self),
             _ => Err(io::Error::other(format!("there is no case {name}"))),
         }
     }
@@ -65,13 +61,8 @@
         address: SocketAddr,
         deployment: Deployment,
     ) -> io::Result<Node> {
-        self.start_node_with(discovery.whole_list(), address, deployment)
-    }
-
-    /// Starts a node that knows this list, and waits until it is ready.
-    fn start_node_with(&self, known: String, address: SocketAddr, deployment: Deployment) -> io::Result<Node> {
         let Deployment { membership_mode, weights, memory_mb, sockets } = deployment;
-        let settings = settings(membership_mode, weights);
+        let (settings, known) = (settings(membership_mode, weights), discovery.whole_list());
         let config = NodeConfig { memory_mb, sockets, settings, known };
         let mut node = Node::start(&self.run, &self.folder, address, config, &self.record)?;
         node.wait_until_ready()?;
@@ -80,7 +71,6 @@
 }
 
 /// What differs between the deployments of the cases.
-#[derive(Clone, Copy)]
 struct Deployment {
     /// `automatic` or `subscribe`.
     membership_mode: &'static str,
@@ -114,7 +104,6 @@
   "family":"cache","family_info":{{"mode":"through"}},
   "lanes":[
     {{"name":"read","effect":"safe","promise_us":500000,"hard_limit_us":2000000,"worth":1.0}},
-    {{"name":"quick","effect":"safe","promise_us":150000,"hard_limit_us":1000000,"worth":1.0}},
     {{"name":"catalogue","effect":"safe","promise_us":1200000,"hard_limit_us":4000000,"worth":1.0}},
     {{"name":"plan-change","effect":"keyed","dedup_scope":"all","repeat_window_us":3000000,
       "promise_us":1500000,"hard_limit_us":5000000,"worth":2.0}},
--- a/review/stand-ins-2/cases/long_messages.rs
+++ b/review/stand-ins-2/cases/long_messages.rs
@@ -35,7 +35,7 @@
     let (sent_ids, record) = (SentIds::default(), &case.record);
     let discovery = Discovery::new(Duration::ZERO, record);
     let length = if case.trouble { LONG_BODY } else { SHORT_BODY };
-    let work = Work { time: REQUEST_TIME, answer_length: length, second_answer_each: None };
+    let work = Work { time: REQUEST_TIME, answer_length: length };
     start_servers(SERVERS, work, &discovery, &sent_ids, record)?;
     let address = discovery.open_address()?;
     let deployment =
--- a/review/stand-ins-2/discovery.rs
+++ b/review/stand-ins-2/discovery.rs
@@ -55,26 +55,12 @@
 struct Shared {
     list: Mutex<List>,
     changed: Condvar,
-    /// Until when it answers no call.
-    silent_until: Mutex<Option<Instant>>,
     /// How much later than usual each answer comes.
     delay: Duration,
     record: Record,
 }
 
 impl Shared {
-    fn silent_until(&self) -> MutexGuard<'_, Option<Instant>> {
-        self.silent_until.lock().expect("no thread panics while it holds the time")
-    }
-
-    /// Waits while discovery is silent.
-    fn wait_while_silent(&self) {
-        let until = *self.silent_until();
-        if let Some(until) = until {
-            thread::sleep(until.saturating_duration_since(Instant::now()));
-        }
-    }
-
     fn list(&self) -> MutexGuard<'_, List> {
         self.list.lock().expect("no thread panics while it holds the list")
     }
@@ -96,8 +82,8 @@
 impl Discovery {
     /// A discovery of which each answer comes later by `delay`.
     pub fn new(delay: Duration, record: &Record) -> Self {
-        let (list, changed, silent_until) = Default::default();
-        Self { shared: Arc::new(Shared { list, changed, silent_until, delay, record: record.clone() }) }
+        let (list, changed) = Default::default();
+        Self { shared: Arc::new(Shared { list, changed, delay, record: record.clone() }) }
     }
 
     /// Lists a server as ready.
@@ -121,12 +107,6 @@
         self.shared.changed.notify_all();
     }
 
-    /// Answers no call for this long, as an agent does while discovery is down.
-    pub fn fall_silent(&self, time: Duration) {
-        *self.shared.silent_until() = Some(Instant::now() + time);
-        self.shared.record.add(format!("discovery: silent for {} ms", time.as_millis()));
-    }
-
     /// Tells the share of each server anew.
     pub fn update_shares(&self, share: impl Fn(&CacheServer) -> f64) {
         let mut list = self.shared.list();
@@ -195,7 +175,6 @@
         let mut reader = BufReader::new(stream.try_clone()?);
         while let Some(request) = Message::read(&mut reader)? {
             let called_at = Instant::now();
-            self.wait_while_silent();
             let list = self.answer(request.second_word());
             thread::sleep(self.delay);
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
