--- a/review/stand-ins-2/cases/cold_join.rs
+++ b/review/stand-ins-2/cases/cold_join.rs
@@ -1,15 +1,16 @@
 //! A new cache server joins a busy fleet whose lists tell live weights.
 
-use super::{start_servers, Case, Deployment, Verdict};
+use super::{Case, Deployment, Verdict, start_servers};
 use crate::cache_server::{CacheServer, SentIds, Work};
-use crate::client::{connect, ClientRequest};
+use crate::client::{ClientRequest, connect};
 use crate::discovery::Discovery;
 use crate::record::Record;
 use std::collections::HashMap;
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -68,7 +69,7 @@
     let carried_per_s = carried as f64 / SERVERS as f64 / AFTER_JOIN.as_secs_f64();
     record.add(format!("each warm server was sent {carried_per_s:.1} requests a second meanwhile"));
     let cold = servers.get(SERVERS).map(|server| sent_since(server, joined_at)).unwrap_or_default();
-    let findings: Vec<_> = first_fall(&cold).into_iter().collect();
+    let findings: Vec<_> = falls(&cold).into_iter().collect();
     Ok(Verdict::from_findings(&findings, format!("{} requests to the cold server", cold.len())))
 }
 
@@ -91,7 +92,13 @@
             next_at += interval;
             count += 1;
             let id = format!("{:016x}", (number << 32) + count);
-            let request = ClientRequest { id, kind: "catalogue", key: spread(number, count), deadline: DEADLINE, value: None };
+            let request = ClientRequest {
+                id,
+                kind: "catalogue",
+                key: spread(number, count),
+                deadline: DEADLINE,
+                value: None,
+            };
             let sent_at = request.write(&mut stream, None, &sent_ids)?;
             request.wait(&stream, sent_at, &record);
         }
@@ -150,16 +157,38 @@
     receipts.iter().filter_map(|receipt| receipt.began_at.checked_duration_since(start)).collect()
 }
 
-/// The first time at which the cold server has been sent more than it bears.
-fn first_fall(sent: &[Duration]) -> Option<String> {
-    sent.iter().enumerate().find_map(|(last, at)| {
-        let in_window = sent[..=last].iter().filter(|earlier| **earlier + FALL_WINDOW > *at).count();
-        let limit = most_in_window(*at);
-        let (age, window) = (at.as_secs_f64(), FALL_WINDOW.as_secs_f64());
-        (in_window as f64 > limit).then(|| {
-            format!("{in_window} of {limit:.1} allowed requests in {window} s to a server {age:.2} s old")
-        })
-    })
+/// How many requests the server got in the window that ends at this age, and how many it bears there.
+struct Window {
+    age: Duration,
+    sent: usize,
+    limit: f64,
+}
+
+impl Window {
+    fn ending_with(last: usize, sent: &[Duration]) -> Self {
+        let age = sent[last];
+        let in_window = sent[..=last].iter().filter(|earlier| **earlier + FALL_WINDOW > age).count();
+        Self { age, sent: in_window, limit: most_in_window(age) }
+    }
+
+    fn excess(&self) -> f64 {
+        self.sent as f64 - self.limit
+    }
+}
+
+impl fmt::Display for Window {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (sent, limit, age) = (self.sent, self.limit, self.age.as_secs_f64());
+        write!(f, "{sent} of {limit:.1} allowed requests in 1.5 s at an age of {age:.2} s")
+    }
+}
+
+/// The first window in which the cold server has been sent more than it bears, and the worst one.
+fn falls(sent: &[Duration]) -> Option<String> {
+    let windows = || (0..sent.len()).map(|last| Window::ending_with(last, sent));
+    let first = windows().find(|window| window.excess() > 0.0)?;
+    let worst = windows().max_by(|one, other| one.excess().total_cmp(&other.excess()))?;
+    Some(format!("{first}, at worst {worst}"))
 }
 
 /// The most requests that a server of this age bears in the window of the settings. Its capacity grows evenly
@@ -167,9 +196,5 @@
 fn most_in_window(age: Duration) -> f64 {
     let warmth = (COLD_SHARE + (1.0 - COLD_SHARE) * age.div_duration_f64(WARM_WITHIN)).min(1.0);
     let allowed = FALL_MULTIPLE * warmth * CAPACITY_PER_S * FALL_WINDOW.as_secs_f64();
-    if allowed < 30.0 {
-        allowed + 3.0 * allowed.sqrt() + 3.0
-    } else {
-        allowed + 2.0 * allowed.sqrt() + 2.0
-    }
+    if allowed < 30.0 { allowed + 3.0 * allowed.sqrt() + 3.0 } else { allowed + 2.0 * allowed.sqrt() + 2.0 }
 }
--- a/review/stand-ins-2/cases/crowded_out.rs
+++ b/review/stand-ins-2/cases/crowded_out.rs
@@ -1,8 +1,8 @@
 //! Clients that stop in the middle of a request and stay; beside them, sound clients on new connections.
 
-use super::{start_servers, Case, Deployment, Verdict};
+use super::{Case, Deployment, Verdict, start_servers};
 use crate::cache_server::{SentIds, Work};
-use crate::client::{connect, ClientRequest};
+use crate::client::{ClientRequest, connect};
 use crate::discovery::Discovery;
 use crate::http::Ending;
 use std::io::{self, Write};
@@ -29,7 +29,12 @@
     let discovery = Discovery::new(Duration::ZERO, record);
     start_servers(3, Work::taking(Duration::from_millis(5)), &discovery, &sent_ids, record)?;
     let address = discovery.open_address()?;
-    let deployment = Deployment { membership_mode: "automatic", weights: "nominal", memory_mb: MEMORY_MB, sockets: SOCKETS };
+    let deployment = Deployment {
+        membership_mode: "automatic",
+        weights: "nominal",
+        memory_mb: MEMORY_MB,
+        sockets: SOCKETS,
+    };
     let node = case.start_node(&discovery, address.address, deployment)?;
     let mut findings = Vec::new();
     for round in 0..ROUNDS {
@@ -42,7 +47,8 @@
             .map(|number| {
                 let (address, sent_ids, record) = (node.address, sent_ids.clone(), record.clone());
                 let id = format!("{:016x}", 0x6000 + round * SOUND_CLIENTS + number);
-                let request = ClientRequest { id, kind: "read", key: number, deadline: DEADLINE, value: None };
+                let request =
+                    ClientRequest { id, kind: "read", key: number, deadline: DEADLINE, value: None };
                 thread::spawn(move || -> io::Result<Option<String>> {
                     let mut stream = connect(address)?;
                     let sent_at = request.write(&mut stream, None, &sent_ids)?;
--- a/review/stand-ins-2/cases/long_messages.rs
+++ b/review/stand-ins-2/cases/long_messages.rs
@@ -1,16 +1,16 @@
 //! Clients whose requests and answers are long, on a node with little memory.
 
-use super::{start_servers, Case, Deployment, Verdict};
+use super::{Case, Deployment, Verdict, start_servers};
 use crate::cache_server::{SentIds, Work};
-use crate::client::{connect, ClientRequest};
+use crate::client::{ClientRequest, connect};
 use crate::discovery::Discovery;
 use crate::http::Ending;
 use crate::record::Record;
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -38,8 +38,12 @@
     let work = Work { time: REQUEST_TIME, answer_length: length };
     start_servers(SERVERS, work, &discovery, &sent_ids, record)?;
     let address = discovery.open_address()?;
-    let deployment =
-        Deployment { membership_mode: "automatic", weights: "nominal", memory_mb: MEMORY_MB, sockets: SOCKETS };
+    let deployment = Deployment {
+        membership_mode: "automatic",
+        weights: "nominal",
+        memory_mb: MEMORY_MB,
+        sockets: SOCKETS,
+    };
     let mut node = case.start_node(&discovery, address.address, deployment)?;
     let ended = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = (0..CLIENTS)
--- a/review/stand-ins-2/cases/minute_rest.rs
+++ b/review/stand-ins-2/cases/minute_rest.rs
@@ -1,8 +1,8 @@
 //! Clients that rest for about a minute between two requests and write slowly.
 
-use super::{start_servers, Case, Deployment, Verdict};
+use super::{Case, Deployment, Verdict, start_servers};
 use crate::cache_server::{SentIds, Work};
-use crate::client::{connect, ClientRequest};
+use crate::client::{ClientRequest, connect};
 use crate::discovery::Discovery;
 use crate::http::Ending;
 use crate::record::Record;
@@ -25,7 +25,12 @@
     let discovery = Discovery::new(Duration::ZERO, record);
     start_servers(3, Work::taking(Duration::from_millis(5)), &discovery, &sent_ids, record)?;
     let address = discovery.open_address()?;
-    let deployment = Deployment { membership_mode: "automatic", weights: "nominal", memory_mb: MEMORY_MB, sockets: SOCKETS };
+    let deployment = Deployment {
+        membership_mode: "automatic",
+        weights: "nominal",
+        memory_mb: MEMORY_MB,
+        sockets: SOCKETS,
+    };
     let node = case.start_node(&discovery, address.address, deployment)?;
     let pause = case.trouble.then_some(PAUSE);
     let clients: Vec<_> = (0..)
--- a/review/stand-ins-2/cases/quick_reloads.rs
+++ b/review/stand-ins-2/cases/quick_reloads.rs
@@ -1,8 +1,8 @@
 //! New configurations in quick succession while discovery is slow, and a cache server that begins to drain.
 
-use super::{start_servers, Case, Deployment, Verdict};
+use super::{Case, Deployment, Verdict, start_servers};
 use crate::cache_server::{SentIds, Work};
-use crate::client::{connect, ClientRequest};
+use crate::client::{ClientRequest, connect};
 use crate::discovery::Discovery;
 use crate::record::Record;
 use std::io;
@@ -74,7 +74,8 @@
         while Instant::now() < until {
             count += 1;
             let id = format!("{:016x}", 0x8000 + count);
-            let request = ClientRequest { id, kind: "read", key: count * 7_919, deadline: DEADLINE, value: None };
+            let request =
+                ClientRequest { id, kind: "read", key: count * 7_919, deadline: DEADLINE, value: None };
             let sent_at = request.write(&mut stream, None, &sent_ids)?;
             request.wait(&stream, sent_at, &record);
             thread::sleep(REQUEST_INTERVAL);
--- a/review/stand-ins-2/client.rs
+++ b/review/stand-ins-2/client.rs
@@ -1,7 +1,7 @@
 //! A client's requests.
 
-use crate::cache_server::{answer_start, SentIds};
-use crate::http::{read_answer, Ending};
+use crate::cache_server::{SentIds, answer_start};
+use crate::http::{Ending, read_answer};
 use crate::record::Record;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -57,7 +57,11 @@
 /// How a client's wait for an answer ended.
 #[derive(Clone, Debug)]
 pub enum Ending {
-    Answered { status: String, body: Vec<u8>, closes: bool },
+    Answered {
+        status: String,
+        body: Vec<u8>,
+        closes: bool,
+    },
     /// The connection was closed or reset without a whole answer.
     Closed(String),
     /// Nothing came in time.
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -25,7 +25,9 @@
         Ok((verdict, record)) => {
             let (line, code) = match verdict {
                 Verdict::Held(text) => (format!("the rule held: {text}"), ExitCode::SUCCESS),
-                Verdict::Broken(text) => (format!("the rule was broken: {text}"), ExitCode::from(RULE_BROKEN)),
+                Verdict::Broken(text) => {
+                    (format!("the rule was broken: {text}"), ExitCode::from(RULE_BROKEN))
+                }
             };
             record.add(&line);
             println!("{line}");
@@ -48,12 +50,8 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(&PathBuf::from(case_folder))?;
     record.add(format!("case {name}, with its disruption: {trouble}"));
-    let case = Case {
-        run: run.clone(),
-        folder: PathBuf::from(temporary_folder),
-        trouble,
-        record: record.clone(),
-    };
+    let case =
+        Case { run: run.clone(), folder: PathBuf::from(temporary_folder), trouble, record: record.clone() };
     let verdict = match case.play(name) {
         Ok(verdict) => verdict,
         Err(error) => {
--- a/review/stand-ins-2/node.rs
+++ b/review/stand-ins-2/node.rs
@@ -1,6 +1,6 @@
 //! Starts and ends a node: the program, with the command of the deploy file.
 
-use crate::http::{read_answer, Ending};
+use crate::http::{Ending, read_answer};
 use crate::record::Record;
 use std::fs::{self, File};
 use std::io::{self, Write};
