--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Clients whose requests and answers are long, on a node with little memory. See claim.txt.
 folder=$(dirname "$0")
-exec "$folder/../stand-ins-2/play.sh" long-messages "$folder"
+exec sh "$folder/../stand-ins-2/play.sh" long-messages "$folder"
