--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -40,14 +40,16 @@
     }
 }
 
-/// Runs the case that the command line names: its name, its folder, a temporary folder and the deploy file's
-/// command for a node.
+/// Runs the case that the command line names: its name, its folder, a temporary folder, the deploy file's
+/// command for a node, and whether the disruption is played (0 if not).
 fn run() -> io::Result<(Verdict, Record)> {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let [name, case_folder, temporary_folder, run] = arguments.as_slice() else {
-        return Err(io::Error::other("usage: stand-ins-2 CASE CASE_FOLDER TEMPORARY_FOLDER RUN_COMMAND"));
+    let [name, case_folder, temporary_folder, run, trouble] = arguments.as_slice() else {
+        return Err(io::Error::other(
+            "usage: stand-ins-2 CASE CASE_FOLDER TEMPORARY_FOLDER RUN_COMMAND TROUBLE",
+        ));
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = trouble != "0";
     let record = Record::create(&PathBuf::from(case_folder))?;
     record.add(format!("case {name}, with its disruption: {trouble}"));
     let case =
--- a/review/stand-ins-2/play.sh
+++ b/review/stand-ins-2/play.sh
@@ -1,8 +1,9 @@
 #!/bin/sh
-# Plays a case: `play.sh NAME FOLDER`. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could
-# not run. With TROUBLE=0 the case is played without its disruption.
+# Plays a case: `play.sh NAME FOLDER TROUBLE`, without its disruption if TROUBLE is 0. Exits with 1 if the rule
+# was broken, 0 if it held, 2 if the case could not run.
 set -u
 name=$1
+trouble=$3
 case_folder=$(cd "$2" && pwd) || exit 2
 cd "$(dirname "$0")/../.." || exit 2
 run=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
@@ -18,7 +19,7 @@
 trap clean_up EXIT
 trap 'exit 2' INT TERM HUP
 
-target/review-2/stand-ins "$name" "$case_folder" "$temporary_folder" "$run" &
+target/review-2/stand-ins "$name" "$case_folder" "$temporary_folder" "$run" "$trouble" &
 stand_ins=$!
 wait "$stand_ins"
 code=$?
