New configurations in quick succession no longer keep a change from a node

Cause: DiscoveryClient::address_changed aborted the calls in flight and Subscription::endpoint_changed forgot them, so that no call lived as long as an answer takes. Related, same class: at the limit of four calls the oldest gave way, the one closest to its answer. Change: calls to former addresses stay until a later call is answered; the limit of four counts all of them, and the oldest that can still be answered stays. Version numbers of a former address don't reach the calls to the new one, nor do its failures. Changes that a former address tells after the new one was asked for its full list must not be undone by that list, so it is asked for again. Why it works: the oldest call is never ended from inside, so something is received one answer time after the first signal.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -11,7 +11,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{sleep_until, Instant};
 use tracing::{debug, info, warn};
-use walkpick::policy::subscription::{Call, CallId, Subscription};
+use walkpick::policy::subscription::{Answer, Call, CallId, Subscription};
 
 /// The result of a call.
 struct FinishedCall {
@@ -93,10 +93,8 @@
         self.handles.insert(call.id, handle);
     }
 
-    /// Aborts outstanding calls and closes their connections.
+    /// Closes the idle connection. Outstanding calls go on for as long as the subscription needs them.
     fn address_changed(&mut self) {
-        self.calls = JoinSet::new();
-        self.handles.clear();
         self.connection = None;
         self.subscription.endpoint_changed(Instant::now().into_std());
     }
@@ -117,16 +115,20 @@
 
     fn call_succeeded(&mut self, id: CallId, listing: Listing, connection: Connection, out_ms: u64) -> bool {
         let seq = listing.seq;
-        let verdict = self.subscription.answered(id, seq, Instant::now().into_std());
-        debug!(target: "discovery", seq, out_ms, accepted = verdict.accepted, "discovery call answered");
-        if verdict.failures > 0 {
-            info!(target: "discovery", failures = verdict.failures, seq, out_ms, "discovery answers again after failed calls");
+        let answer = Answer { version: seq, content: listing.content() };
+        let outcome = self.subscription.answered(id, answer, Instant::now().into_std());
+        let (accepted, current_address) = (outcome.accepted, outcome.connection_reusable);
+        debug!(target: "discovery", seq, out_ms, accepted, current_address, "discovery call answered");
+        if outcome.failures > 0 {
+            info!(target: "discovery", failures = outcome.failures, seq, out_ms, "discovery answers again after failed calls");
         }
-        for handle in verdict.obsolete.iter().filter_map(|id| self.handles.remove(id)) {
+        for handle in outcome.obsolete.iter().filter_map(|id| self.handles.remove(id)) {
             handle.abort();
         }
-        self.connection = Some(connection);
-        !verdict.accepted || (self.publish)(listing)
+        if outcome.connection_reusable {
+            self.connection = Some(connection);
+        }
+        !accepted || (self.publish)(listing)
     }
 
     fn call_failed(&mut self, id: CallId, error: &CallError, out_ms: u64) {
--- a/src/net/discovery/listing.rs
+++ b/src/net/discovery/listing.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use tracing::warn;
+use walkpick::policy::subscription::Content;
 use walkpick::{Availability, ServerEntry, Timestamp};
 
 /// Maximum number of entries in an answer: five times as many as the largest fleet has servers. The limit on the
@@ -21,6 +22,17 @@
     pub hosts: Vec<Host>,
 }
 
+impl Listing {
+    /// What the answer contains.
+    pub fn content(&self) -> Content {
+        match (self.whole, self.hosts.is_empty()) {
+            (true, _) => Content::FullList,
+            (false, false) => Content::Changes,
+            (false, true) => Content::NoChanges,
+        }
+    }
+}
+
 fn read_hosts<'de, D: Deserializer<'de>>(list: D) -> Result<Vec<Host>, D::Error> {
     list.deserialize_seq(HostsVisitor)
 }
--- a/src/policy/subscription.rs
+++ b/src/policy/subscription.rs
@@ -10,6 +10,11 @@
 //! the node. A service that all nodes call is spared: a change counts as notified 6 s after the service has
 //! it and can be reached. (Sources: the protocol page, "Discovery"; the page of the standing test, "Days at
 //! full size"; and the operators' terms.)
+//!
+//! A new configuration names another endpoint, which may have nothing to tell before the next configuration
+//! comes. Calls to former endpoints therefore stay outstanding until a later call is answered: they are
+//! closer to their answers than any call that starts now. For the same reason it is not the oldest call that
+//! gives way where there are too many.
 
 use super::RESUBSCRIBE_DELAY;
 use std::time::{Duration, Instant};
@@ -31,8 +36,11 @@
 const AGENT_ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 const IMMEDIATE_DOUBLINGS: u32 = 2;
 const CALLS_PER_DOUBLING: u32 = 8;
-/// Maximum number of outstanding calls. A further call replaces the oldest.
+/// Maximum number of outstanding calls, to the current endpoint and to former ones together.
 const MAX_OUTSTANDING_CALLS: usize = 4;
+/// A former endpoint closes its connections 1.5 s after its successor was configured; the rest is for a
+/// signal that is handled late.
+const FORMER_ENDPOINT_ANSWERS_FOR: Duration = Duration::from_secs(2);
 
 /// Timeouts for establishing a connection to an agent and to a service.
 const AGENT_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
@@ -132,15 +140,37 @@
     pub replaces: Option<CallId>,
 }
 
+/// What an answer contains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Content {
+    /// The full list, as it was when the call arrived or later.
+    FullList,
+    /// Entries that have changed since the version that the call named.
+    Changes,
+    /// Nothing has changed since then.
+    NoChanges,
+}
+
+/// An answer to a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The version of the list, in the numbering of the endpoint that answered.
+    pub version: u64,
+    /// What it contains.
+    pub content: Content,
+}
+
 /// What to do with an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AnswerOutcome {
     /// Whether to apply the list: it is not older than what the node has.
     pub accepted: bool,
-    /// Calls that started before the answered one and can be cancelled.
+    /// Calls that are not needed any more and can be cancelled.
     pub obsolete: Vec<CallId>,
-    /// Number of calls in a row that had failed before it.
+    /// Number of calls in a row to this endpoint that had failed before it.
     pub failures: u32,
+    /// Whether the next call can use the same connection.
+    pub connection_reusable: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -149,6 +179,15 @@
     started_at: Instant,
     /// When its answer started to arrive.
     answer_started_at: Option<Instant>,
+    /// When another endpoint replaced the one that it went to.
+    superseded_at: Option<Instant>,
+}
+
+impl OutstandingCall {
+    /// Whether it went to a former endpoint whose connections have been closed by now.
+    fn is_lost(&self, now: Instant) -> bool {
+        self.superseded_at.is_some_and(|at| now >= at + FORMER_ENDPOINT_ANSWERS_FOR)
+    }
 }
 
 /// The schedule of a node's calls to discovery. It has no clock and does no I/O.
@@ -156,11 +195,15 @@
 pub struct Subscription {
     delivery: Delivery,
     random: fastrand::Rng,
+    /// The version that the node has, in the current endpoint's numbering.
     version: Option<u64>,
     /// Oldest first.
     outstanding: Vec<OutstandingCall>,
     next_id: u64,
-    latest_answered: Option<CallId>,
+    /// Id of the first call to the current endpoint.
+    first_id_at_endpoint: u64,
+    /// Calls with smaller ids have been overtaken by the answer to a later one.
+    first_not_overtaken: u64,
     failures: u32,
     /// Number of calls in a row whose answers started but were incomplete when the next call started.
     incomplete_answers: u32,
@@ -177,7 +220,8 @@
             version,
             outstanding: Vec::new(),
             next_id: 0,
-            latest_answered: None,
+            first_id_at_endpoint: 0,
+            first_not_overtaken: 0,
             failures: 0,
             incomplete_answers: 0,
             earliest_start: now,
@@ -190,9 +234,14 @@
         self.latest_call().map_or(self.earliest_start, |call| self.earliest_start.max(self.overdue_at(call)))
     }
 
-    /// The latest call, if it is outstanding.
+    /// The latest call, if it is outstanding and went to the current endpoint.
     fn latest_call(&self) -> Option<OutstandingCall> {
-        self.outstanding.last().copied().filter(|call| call.id.0 + 1 == self.next_id)
+        let latest = self.outstanding.last().copied().filter(|call| call.id.0 + 1 == self.next_id);
+        latest.filter(|call| self.went_to_current_endpoint(call.id))
+    }
+
+    fn went_to_current_endpoint(&self, id: CallId) -> bool {
+        id.0 >= self.first_id_at_endpoint
     }
 
     fn overdue_at(&self, call: OutstandingCall) -> Instant {
@@ -220,38 +269,84 @@
         if self.latest_call().is_some_and(|call| call.answer_started_at.is_some()) {
             self.incomplete_answers = self.incomplete_answers.saturating_add(1);
         }
-        let replaces =
-            (self.outstanding.len() >= MAX_OUTSTANDING_CALLS).then(|| self.outstanding.remove(0).id);
+        let replaces = (self.outstanding.len() >= MAX_OUTSTANDING_CALLS).then(|| self.remove_call(now));
         let id = CallId(self.next_id);
         self.next_id += 1;
-        self.outstanding.push(OutstandingCall { id, started_at: now, answer_started_at: None });
+        let (answer_started_at, superseded_at) = (None, None);
+        self.outstanding.push(OutstandingCall { id, started_at: now, answer_started_at, superseded_at });
         let connect_timeout = self.delivery.connect_timeout();
         Some(Call { id, after_version: self.version, connect_timeout, replaces })
     }
 
-    /// Records that a call was answered with a list of this version.
-    pub fn answered(&mut self, id: CallId, version: u64, now: Instant) -> AnswerOutcome {
-        let overtaken = self.latest_answered.is_some_and(|latest| id < latest);
+    /// Removes the outstanding call whose answer is needed least, and returns its id. The oldest call stays
+    /// as long as it can be answered, however quickly others follow: something is always received.
+    fn remove_call(&mut self, now: Instant) -> CallId {
+        let last = self.outstanding.len() - 1;
+        let lost = self.outstanding.iter().position(|call| call.is_lost(now));
+        let newest_is_superseded = self.outstanding[last].superseded_at.is_some();
+        let position = lost.unwrap_or(if newest_is_superseded { last } else { 1 });
+        self.outstanding.remove(position).id
+    }
+
+    /// Records that a call was answered.
+    pub fn answered(&mut self, id: CallId, answer: Answer, now: Instant) -> AnswerOutcome {
+        if self.went_to_current_endpoint(id) {
+            self.answered_by_current_endpoint(id, answer.version, now)
+        } else {
+            self.answered_by_former_endpoint(id, answer.content)
+        }
+    }
+
+    fn answered_by_current_endpoint(&mut self, id: CallId, version: u64, now: Instant) -> AnswerOutcome {
         // If a later call has been answered already, this answer may be older. Otherwise it is the newest,
         // even if its version is lower because discovery's version numbers started over.
-        let accepted = !overtaken || self.version.is_none_or(|current| version > current);
+        let accepted = !self.is_overtaken(id) || self.version.is_some_and(|current| version > current);
         if accepted {
             self.version = Some(version);
         }
-        let obsolete = self.outstanding.iter().map(|call| call.id).filter(|other| *other < id).collect();
-        self.outstanding.retain(|call| call.id > id);
-        self.latest_answered = self.latest_answered.max(Some(id));
+        let obsolete = self.remove_calls_before(id);
         self.incomplete_answers = 0;
         self.earliest_start = now;
-        AnswerOutcome { accepted, obsolete, failures: std::mem::take(&mut self.failures) }
+        let failures = std::mem::take(&mut self.failures);
+        AnswerOutcome { accepted, obsolete, failures, connection_reusable: true }
     }
 
-    /// Records that a call failed or timed out. Returns the number of failed calls in a row.
+    /// The version numbers of a former endpoint mean nothing to the current one. A full list is older than
+    /// the one that the current endpoint was asked for later. Changes may be newer, and must not be undone by
+    /// it, so it is asked for again.
+    fn answered_by_former_endpoint(&mut self, id: CallId, content: Content) -> AnswerOutcome {
+        let accepted = !self.is_overtaken(id);
+        let mut obsolete = self.remove_calls_before(id);
+        if accepted && content == Content::Changes {
+            obsolete.extend(self.outstanding.drain(..).map(|call| call.id));
+            self.first_not_overtaken = self.next_id;
+        }
+        AnswerOutcome { accepted, obsolete, failures: 0, connection_reusable: false }
+    }
+
+    /// Whether a later call has been answered.
+    fn is_overtaken(&self, id: CallId) -> bool {
+        id.0 < self.first_not_overtaken
+    }
+
+    /// Removes an answered call and those before it; returns the ids of the latter.
+    fn remove_calls_before(&mut self, answered: CallId) -> Vec<CallId> {
+        let obsolete = self.outstanding.iter().map(|call| call.id).filter(|id| *id < answered).collect();
+        self.outstanding.retain(|call| call.id > answered);
+        self.first_not_overtaken = self.first_not_overtaken.max(answered.0);
+        obsolete
+    }
+
+    /// Records that a call failed or timed out. Returns the number of failed calls in a row to the current
+    /// endpoint.
     pub fn failed(&mut self, id: CallId) -> u32 {
         let Some(position) = self.outstanding.iter().position(|call| call.id == id) else {
             return self.failures;
         };
-        let started_at = self.outstanding.remove(position).started_at;
+        let OutstandingCall { started_at, superseded_at, .. } = self.outstanding.remove(position);
+        if superseded_at.is_some() {
+            return self.failures;
+        }
         self.failures = self.failures.saturating_add(1);
         let (fixed, jittered) = self.delivery.retry_delay(self.failures);
         let jitter = MIN_JITTER + self.random.f64();
@@ -259,12 +354,14 @@
         self.failures
     }
 
-    /// Starts over with a discovery that moved or restarted: its version numbers may start over, so it is
-    /// asked for the full list at once. Outstanding calls are discarded.
+    /// Discovery moved or restarted: its version numbers may start over, so it is asked for the full list at
+    /// once. Outstanding calls stay until a later one is answered.
     pub fn endpoint_changed(&mut self, now: Instant) {
-        self.outstanding.clear();
+        for call in &mut self.outstanding {
+            call.superseded_at.get_or_insert(now);
+        }
+        self.first_id_at_endpoint = self.next_id;
         self.version = None;
-        self.latest_answered = None;
         self.failures = 0;
         self.incomplete_answers = 0;
         self.earliest_start = now;
--- a/src/policy/subscription/tests.rs
+++ b/src/policy/subscription/tests.rs
@@ -7,6 +7,10 @@
     (Subscription::new(delivery, Some(7), 1, start), start)
 }
 
+fn changes(version: u64) -> Answer {
+    Answer { version, content: Content::Changes }
+}
+
 fn begin(subscription: &mut Subscription, now: Instant) -> CallId {
     subscription.begin(now).expect("a call is due").id
 }
@@ -16,8 +20,11 @@
     let (mut subscription, start) = subscription(Delivery::Polled);
     let call = begin(&mut subscription, start);
     assert_eq!(subscription.begin(start + LONG_POLL_WAIT), None, "one call is outstanding");
-    let outcome = subscription.answered(call, 8, start + LONG_POLL_WAIT);
-    assert_eq!(outcome, AnswerOutcome { accepted: true, obsolete: Vec::new(), failures: 0 });
+    let outcome = subscription.answered(call, changes(8), start + LONG_POLL_WAIT);
+    assert_eq!(
+        outcome,
+        AnswerOutcome { accepted: true, obsolete: Vec::new(), failures: 0, connection_reusable: true }
+    );
     assert_eq!(subscription.begin(start + LONG_POLL_WAIT).unwrap().after_version, Some(8));
     assert_eq!(subscription.begin(start + LONG_POLL_WAIT), None);
 }
@@ -156,11 +163,11 @@
     let (mut subscription, start) = subscription(Delivery::Pushed);
     let older = begin(&mut subscription, start);
     let newer = begin(&mut subscription, start + LONG_POLL_WAIT + OVERDUE_AFTER);
-    let outcome = subscription.answered(newer, 9, start + LONG_POLL_WAIT + OVERDUE_AFTER);
+    let outcome = subscription.answered(newer, changes(9), start + LONG_POLL_WAIT + OVERDUE_AFTER);
     assert_eq!(outcome.obsolete, [older], "the older call is cancelled");
-    assert!(!subscription.answered(older, 8, start + CALL_TIMEOUT).accepted, "older version");
-    assert!(!subscription.answered(older, 9, start + CALL_TIMEOUT).accepted, "same version");
-    assert!(subscription.answered(older, 10, start + CALL_TIMEOUT).accepted, "newer version");
+    assert!(!subscription.answered(older, changes(8), start + CALL_TIMEOUT).accepted, "older version");
+    assert!(!subscription.answered(older, changes(9), start + CALL_TIMEOUT).accepted, "same version");
+    assert!(subscription.answered(older, changes(10), start + CALL_TIMEOUT).accepted, "newer version");
 }
 
 // A discovery that restarted may number its versions from the beginning.
@@ -168,7 +175,7 @@
 fn the_answer_to_the_latest_call_is_accepted_whatever_its_version() {
     let (mut subscription, start) = subscription(Delivery::Pushed);
     let call = begin(&mut subscription, start);
-    assert!(subscription.answered(call, 2, start).accepted);
+    assert!(subscription.answered(call, changes(2), start).accepted);
     assert_eq!(subscription.begin(start).unwrap().after_version, Some(2));
 }
 
@@ -178,10 +185,10 @@
     let slow = begin(&mut subscription, start);
     let second_started_at = start + LONG_POLL_WAIT + OVERDUE_AFTER;
     let second = begin(&mut subscription, second_started_at);
-    let outcome = subscription.answered(slow, 8, second_started_at + 500 * MS);
+    let outcome = subscription.answered(slow, changes(8), second_started_at + 500 * MS);
     assert!(outcome.accepted && outcome.obsolete.is_empty());
     assert_eq!(subscription.begin(second_started_at + 500 * MS), None, "the second call is outstanding");
-    assert!(subscription.answered(second, 9, second_started_at + 600 * MS).accepted);
+    assert!(subscription.answered(second, changes(9), second_started_at + 600 * MS).accepted);
 }
 
 #[test]
@@ -230,9 +237,124 @@
             outstanding.push((call.id, now));
         }
         if let Some((id, _)) = outstanding.iter().find(|(_, started_at)| now >= *started_at + DURATION) {
-            assert!(subscription.answered(*id, 8, now).accepted);
+            assert!(subscription.answered(*id, changes(8), now).accepted);
             return;
         }
     }
     panic!("the list was never received");
 }
+
+/// How long an endpoint keeps its connections after another one was configured.
+const FORMER_CONNECTIONS_STAY_OPEN: Duration = Duration::from_millis(1_500);
+
+/// A call in flight to the simulated discovery.
+struct SimulatedCall {
+    id: CallId,
+    after_version: Option<u64>,
+    started_at: Duration,
+    /// When its endpoint closes the connection, if another one has been configured.
+    closed_at: Option<Duration>,
+}
+
+/// A discovery with one change whose answers take some time, a node that subscribes to it, and new
+/// configurations at a fixed interval, each with another endpoint.
+struct ReloadSimulation {
+    delivery: Delivery,
+    answer_time: Duration,
+    reload_interval: Duration,
+    change_at: Duration,
+}
+
+impl ReloadSimulation {
+    /// When the list was read that an answer contains: a call that has the version before the change waits for it.
+    fn read_at(&self, call: &SimulatedCall) -> Duration {
+        let wait_ends = call.started_at + LONG_POLL_WAIT;
+        match call.after_version {
+            None => call.started_at,
+            Some(0) => self.change_at.clamp(call.started_at, wait_ends),
+            Some(_) => wait_ends,
+        }
+    }
+
+    fn answer(&self, call: &SimulatedCall) -> Answer {
+        let version = u64::from(self.read_at(call) >= self.change_at);
+        let content = match call.after_version {
+            None => Content::FullList,
+            Some(after) if after < version => Content::Changes,
+            Some(_) => Content::NoChanges,
+        };
+        Answer { version, content }
+    }
+
+    /// How long after the change the node has it, and that it keeps it from then on.
+    fn time_to_receive(&self) -> Duration {
+        let start = Instant::now();
+        let mut subscription = Subscription::new(self.delivery, Some(0), 1, start);
+        let mut calls: Vec<SimulatedCall> = Vec::new();
+        let (mut received_at, mut reloads) = (None, 0);
+        for at in (0..self.change_at.as_millis() as u32 + 9_000).map(|ms| MS * ms) {
+            let now = start + at;
+            if at >= self.reload_interval * (reloads + 1) {
+                reloads += 1;
+                let closed_at = at + FORMER_CONNECTIONS_STAY_OPEN;
+                calls.iter_mut().for_each(|call| _ = call.closed_at.get_or_insert(closed_at));
+                subscription.endpoint_changed(now);
+            }
+            let ended = |call: &mut SimulatedCall| {
+                at >= self.read_at(call) + self.answer_time
+                    || call.closed_at.is_some_and(|closed| at >= closed)
+            };
+            for call in calls.extract_if(.., ended).collect::<Vec<_>>() {
+                if at < self.read_at(&call) + self.answer_time {
+                    subscription.failed(call.id);
+                    continue;
+                }
+                let answer = self.answer(&call);
+                if subscription.answered(call.id, answer, now).accepted {
+                    let has_change = answer.version > 0;
+                    let undone = received_at.is_some() && !has_change && answer.content == Content::FullList;
+                    assert!(!undone, "an older list is applied at {at:?}, received {received_at:?}");
+                    received_at = received_at.or(has_change.then_some(at));
+                }
+            }
+            while let Some(call) = subscription.begin(now) {
+                let Call { id, after_version, .. } = call;
+                calls.push(SimulatedCall { id, after_version, started_at: at, closed_at: None });
+            }
+            calls.retain(|call| subscription.outstanding.iter().any(|outstanding| outstanding.id == call.id));
+            assert!(calls.len() <= MAX_OUTSTANDING_CALLS);
+        }
+        received_at.expect("the change is received") - self.change_at
+    }
+}
+
+// Guards against a node that never hears of a change while new configurations come faster than discovery answers: each
+// of them discarded the calls in flight.
+#[test]
+fn a_change_is_received_in_time_however_quickly_new_endpoints_are_configured() {
+    let mut slowest = Duration::ZERO;
+    for (delivery, answer_time_ms) in [Delivery::Pushed, Delivery::Polled]
+        .into_iter()
+        .flat_map(|d| [0, 300, 1_000, 1_450, 1_700, 2_400].map(|t| (d, t)))
+    {
+        let answer_time = MS * answer_time_ms;
+        let intervals =
+            [20, 50, 100, 250, 500, 900, 1_300, 1_500, 1_900, 2_500, 2_600, 3_300, 4_100, 4_700, 6_000];
+        // Where an endpoint closes its connections before it answers, no node can know.
+        let answerable = intervals
+            .map(|interval| MS * interval)
+            .into_iter()
+            .filter(|interval| *interval + FORMER_CONNECTIONS_STAY_OPEN > answer_time);
+        for reload_interval in answerable {
+            for change_at in (0..13).map(|step| MS * (7_000 + 487 * step)) {
+                let simulation = ReloadSimulation { delivery, answer_time, reload_interval, change_at };
+                let took = simulation.time_to_receive();
+                let case = format!("{delivery:?}, answers take {answer_time:?}, a reload each {reload_interval:?}, change at {change_at:?}");
+                assert!(took <= NOTIFIED_AFTER, "{case}: received after {took:?}");
+                assert!(answer_time_ms > 0 || took <= MS, "{case}: received after {took:?}");
+                slowest = slowest.max(took);
+            }
+        }
+    }
+    println!("received after {slowest:?} at the latest");
+}
--- a/tests/node_discovery.rs
+++ b/tests/node_discovery.rs
@@ -6,6 +6,7 @@
 use serde_json::{json, Value};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -126,9 +127,14 @@
 
 impl ChangeTest {
     fn start(discovery: SocketAddr) -> Self {
+        Self::start_in_mode("subscribe", discovery)
+    }
+
+    fn start_in_mode(membership_mode: &str, discovery: SocketAddr) -> Self {
         let servers = [CacheServer::serving("old"), CacheServer::serving("new")];
         let (old, new) = (|state| servers[0].entry("s-old", state), servers[1].entry("s-new", "ready"));
         let mut config = config(discovery);
+        config["settings"]["membership_mode"] = membership_mode.into();
         config["known"]["hosts"] = vec![old("ready")].into();
         let (before, after) = (list(1, &[old("ready")]), list(2, &[old("draining"), new]));
         let node = Node::ready(&config);
@@ -221,6 +227,54 @@
     }
 }
 
+/// How long a node takes to apply a change while it gets a new configuration at each interval, each with a further
+/// address of a discovery whose answers take this time.
+fn time_to_apply_during_reloads(
+    membership_mode: &str,
+    answer_time: Duration,
+    interval: Duration,
+) -> Duration {
+    let old = FaultyDiscovery::start(Mode::Silent);
+    let change = ChangeTest::start_in_mode(membership_mode, old.address);
+    wait_for("a call", || old.calls() > 0);
+    let (signalled, applied) = (Instant::now(), AtomicBool::new(false));
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            while !applied.load(Ordering::SeqCst) && signalled.elapsed() < 2 * APPLIED_WITHIN {
+                let new = FaultyDiscovery::start(Mode::List(change.after.clone(), answer_time));
+                change.node.reload(&config(new.address).to_string());
+                thread::sleep(interval);
+            }
+        });
+        let took = change.wait_until_applied(signalled);
+        applied.store(true, Ordering::SeqCst);
+        took
+    })
+}
+
+// Guards against a node that hears nothing while new configurations come faster than discovery answers: each of them
+// ended the call in flight.
+#[test]
+fn a_change_is_applied_in_time_while_addresses_change_faster_than_discovery_answers() {
+    let ms = Duration::from_millis;
+    let spacings = [(1_400, 100), (1_400, 500), (1_700, 300), (1_700, 1_500), (2_200, 1_900)];
+    let cases =
+        ["subscribe", "automatic"].into_iter().flat_map(|mode| spacings.map(|spacing| (mode, spacing)));
+    let runs = cases.map(|(mode, (answer_time, interval))| {
+        let name = format!("{mode}, answers take {answer_time} ms, a reload each {interval} ms");
+        let run = move || time_to_apply_during_reloads(mode, ms(answer_time), ms(interval));
+        (name, thread::spawn(run))
+    });
+    let runs: Vec<_> = runs.collect();
+    // All runs end before the first assertion, so that each node is stopped.
+    let results: Vec<_> = runs.into_iter().map(|(name, run)| (name, run.join())).collect();
+    for (name, result) in results {
+        let took = result.expect("the change is applied");
+        println!("{name}: applied after {took:?}");
+        assert!(took < APPLIED_WITHIN_AFTER_SIGHUP, "{name}: applied after {took:?}");
+    }
+}
+
 // Guards against a tight loop of calls while discovery fails immediately.
 #[test]
 fn calls_to_a_discovery_that_fails_immediately_back_off() {
