The times of calls to discovery have a module of their own

Change: the times, the kinds of delivery and the compile-time checks of their sums move to src/policy/call_timing.rs; subscription.rs exports what it exported. Nothing else changes.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod breaker;
+mod call_timing;
 mod capacity;
 mod deployment;
 mod hash;
--- a/src/policy/subscription/tests.rs
+++ b/src/policy/subscription/tests.rs
@@ -1,4 +1,8 @@
 use super::*;
+use crate::policy::call_timing::{
+    backoff, INITIAL_BACKOFF, MAX_BACKOFF, NOTIFIED_AFTER, SERVICE_CONNECT_TIMEOUT,
+};
+use crate::policy::RESUBSCRIBE_DELAY;
 
 const MS: Duration = Duration::from_millis(1);
 
