Applying a server list is split into steps; one constant for bytes per MiB

Change: unlisted, updated and new servers each have a function, as have the lookups of a kind and a zone; the configuration owns the constant. Behaviour stays.

--- a/src/check.rs
+++ b/src/check.rs
@@ -2,7 +2,7 @@
 
 use crate::net::config::fault::{ConfigError, Fault};
 use crate::net::config::section::{LogConfig, PeersSection, OPTIONS};
-use crate::net::config::{self, Config};
+use crate::net::config::{self, Config, BYTES_PER_MIB};
 use crate::net::lifecycle::ShutdownPlan;
 use clap::Args;
 use humantime::format_duration;
@@ -18,8 +18,6 @@
 /// Longer times are reported as a probable mistake of the unit.
 const MAX_PLAUSIBLE_TIME: Duration = Duration::from_secs(24 * 3600);
 
-const BYTES_PER_MIB: u64 = 1 << 20;
-
 #[derive(Debug, Args)]
 pub struct CheckConfig {
     /// Path of the configuration file that a node finds through LB_CONFIG
--- a/src/net/config/mod.rs
+++ b/src/net/config/mod.rs
@@ -42,7 +42,8 @@
 
 /// The least memory that the platform gives, in MiB; assumed if the file does not say.
 const DEFAULT_MEMORY_MIB: f64 = 32.0;
-const BYTES_PER_MIB: f64 = 1_048_576.0;
+/// Number of bytes in a MiB.
+pub const BYTES_PER_MIB: u64 = 1 << 20;
 
 /// Descriptors reserved for the runtime, the listener, discovery and the standard streams.
 const RESERVED_SOCKETS: usize = 24;
@@ -212,10 +213,14 @@
     })
 }
 
+fn bytes(mib: f64) -> u64 {
+    (mib * BYTES_PER_MIB as f64) as u64
+}
+
 fn memory_bytes(file: &Map<String, Value>, faults: &mut Vec<Fault>) -> Option<u64> {
     let memory = file.get("limits").and_then(|limits| limits.get("memory_mb"));
-    let Some(memory) = memory else { return Some((DEFAULT_MEMORY_MIB * BYTES_PER_MIB) as u64) };
-    let read = memory.as_f64().filter(|mib| *mib >= 1.0).map(|mib| (mib * BYTES_PER_MIB) as u64);
+    let Some(memory) = memory else { return Some(bytes(DEFAULT_MEMORY_MIB)) };
+    let read = memory.as_f64().filter(|mib| *mib >= 1.0).map(bytes);
     read.or_else(|| {
         faults.push(Fault::at("limits.memory_mb", Some(memory), "a number of MiB of at least 1"));
         None
--- a/src/policy/servers.rs
+++ b/src/policy/servers.rs
@@ -81,77 +81,18 @@
         let uncertainty = self.discovery_list_at.map_or(Duration::MAX, |at| now.since(at));
         let observed_now = ObservedStart { first_seen: now, uncertainty };
         if full {
-            // Never iterated, since the order of a hash set differs between runs.
-            let listed: HashSet<&ServerId> = entries.iter().map(|entry| &entry.id).collect();
-            let removed = self.servers.extract_if(.., |server| !listed.contains(&server.entry.id));
-            removed.for_each(|server| remember_start(&mut self.removed_servers, server));
+            self.remove_unlisted(entries);
         }
         for entry in entries {
             let position = self.servers.binary_search_by(|server| server.entry.id.cmp(&entry.id));
-            match position {
-                Ok(i) if entry.availability == Availability::Removed => {
+            match (position, entry.availability) {
+                (Ok(i), Availability::Removed) => {
                     remember_start(&mut self.removed_servers, self.servers.remove(i));
                 }
-                Ok(i) => {
-                    if entry.started != self.servers[i].entry.started {
-                        self.servers[i].breaker.enter(State::Closed, now);
-                        self.servers[i].tokens = unit_interval(mix(self.seed ^ self.servers[i].hash));
-                        let zone = &mut self.zones[self.servers[i].zone];
-                        (zone.down, zone.calls) = (false, 0);
-                        self.servers[i].start = observed_now;
-                    }
-                    self.servers[i].entry = entry.clone();
-                }
-                Err(_) if entry.availability == Availability::Removed => {}
-                Err(i) => {
-                    let hash = mix(hash_str(entry.id.as_str()));
-                    let kind = self.kinds.iter().position(|kind| kind.name == entry.kind);
-                    let kind = kind.unwrap_or_else(|| {
-                        self.kinds.push(ServerKind::new(entry.kind.clone()));
-                        self.kinds.len() - 1
-                    });
-                    // The origin does not count towards the zone of the cache servers beside it.
-                    let name = entry.zone.clone().filter(|_| !self.is_origin(entry));
-                    let zone = self.zones.iter().position(|zone| zone.name == name);
-                    let zone = zone.unwrap_or_else(|| {
-                        let last_outcome_at = now;
-                        self.zones.push(Zone {
-                            name,
-                            calls: 0,
-                            failure_rate: 0.0,
-                            last_outcome_at,
-                            down: false,
-                            last_trial_at: last_outcome_at,
-                        });
-                        self.zones.len() - 1
-                    });
-                    let (entry, breaker, send_interval) = (entry.clone(), Breaker::new(now), Duration::MAX);
-                    let (in_flight, limit, has_spare_capacity, last_sent_at) =
-                        (0, self.initial_limit, false, now);
-                    // Less than a whole token, since many nodes would use it at the same time.
-                    let (tokens, max_request_tokens) = (unit_interval(mix(self.seed ^ hash)), 1.0);
-                    let limit_changed_at = now;
-                    let inverse_weight = 0.0;
-                    let removed = self.removed_servers.remove(&entry.id);
-                    let start = removed.filter(|(started, _)| *started == entry.started);
-                    let start = start.map_or(observed_now, |(_, start)| start);
-                    let server = Server {
-                        entry,
-                        start,
-                        inverse_weight,
-                        kind,
-                        zone,
-                        hash,
-                        breaker,
-                        tokens,
-                        max_request_tokens,
-                        in_flight,
-                        limit,
-                        limit_changed_at,
-                        has_spare_capacity,
-                        last_sent_at,
-                        send_interval,
-                    };
+                (Ok(i), _) => self.update_server(i, entry, observed_now, now),
+                (Err(_), Availability::Removed) => {}
+                (Err(i), _) => {
+                    let server = self.new_server(entry, observed_now, now);
                     self.servers.insert(i, server);
                 }
             }
@@ -160,6 +101,78 @@
         self.list_applied_at = now;
     }
 
+    /// Removes the servers that a full list lacks.
+    fn remove_unlisted(&mut self, entries: &[ServerEntry]) {
+        // Never iterated, since the order of a hash set differs between runs.
+        let listed: HashSet<&ServerId> = entries.iter().map(|entry| &entry.id).collect();
+        let removed = self.servers.extract_if(.., |server| !listed.contains(&server.entry.id));
+        removed.for_each(|server| remember_start(&mut self.removed_servers, server));
+    }
+
+    fn update_server(&mut self, i: usize, entry: &ServerEntry, observed_now: ObservedStart, now: Timestamp) {
+        let server = &mut self.servers[i];
+        if entry.started != server.entry.started {
+            server.breaker.enter(State::Closed, now);
+            server.tokens = unit_interval(mix(self.seed ^ server.hash));
+            server.start = observed_now;
+            let zone = &mut self.zones[server.zone];
+            (zone.down, zone.calls) = (false, 0);
+        }
+        server.entry = entry.clone();
+    }
+
+    /// The state of a server that was not listed before.
+    fn new_server(&mut self, entry: &ServerEntry, observed_now: ObservedStart, now: Timestamp) -> Server {
+        let hash = mix(hash_str(entry.id.as_str()));
+        let removed = self.removed_servers.remove(&entry.id);
+        let same_start = removed.filter(|(started, _)| *started == entry.started);
+        Server {
+            entry: entry.clone(),
+            start: same_start.map_or(observed_now, |(_, start)| start),
+            inverse_weight: 0.0,
+            kind: self.kind_of(entry),
+            zone: self.zone_of(entry, now),
+            hash,
+            breaker: Breaker::new(now),
+            // Less than a whole token, since many nodes would use it at the same time.
+            tokens: unit_interval(mix(self.seed ^ hash)),
+            max_request_tokens: 1.0,
+            in_flight: 0,
+            limit: self.initial_limit,
+            limit_changed_at: now,
+            has_spare_capacity: false,
+            last_sent_at: now,
+            send_interval: Duration::MAX,
+        }
+    }
+
+    /// The index of a server's kind, which is added if it is new.
+    fn kind_of(&mut self, entry: &ServerEntry) -> usize {
+        let known = self.kinds.iter().position(|kind| kind.name == entry.kind);
+        known.unwrap_or_else(|| {
+            self.kinds.push(ServerKind::new(entry.kind.clone()));
+            self.kinds.len() - 1
+        })
+    }
+
+    /// The index of a server's zone, which is added if it is new. The origin does not count towards the zone
+    /// of the cache servers beside it.
+    fn zone_of(&mut self, entry: &ServerEntry, now: Timestamp) -> usize {
+        let name = entry.zone.clone().filter(|_| !self.is_origin(entry));
+        let known = self.zones.iter().position(|zone| zone.name == name);
+        known.unwrap_or_else(|| {
+            self.zones.push(Zone {
+                name,
+                calls: 0,
+                failure_rate: 0.0,
+                last_outcome_at: now,
+                down: false,
+                last_trial_at: now,
+            });
+            self.zones.len() - 1
+        })
+    }
+
     pub(super) fn is_origin(&self, entry: &ServerEntry) -> bool {
         let CacheMode::Aside { origin_kind } = &self.settings.mode else { return false };
         entry.kind.as_ref() == Some(origin_kind)
