Test of calls to a former endpoint that cannot be answered any more

Need: no test failed where such calls kept the places of calls that can be answered. Change: calls_whose_endpoint_has_closed_its_connections_give_way_first.

--- a/src/policy/subscription/tests.rs
+++ b/src/policy/subscription/tests.rs
@@ -362,3 +362,21 @@
     }
     println!("received after {slowest:?} at the latest");
 }
+
+// Guards against calls that cannot be answered any more and keep one that can from its answer.
+#[test]
+fn calls_whose_endpoint_has_closed_its_connections_give_way_first() {
+    let (mut subscription, start) = subscription(Delivery::Polled);
+    let overdue_after = LONG_POLL_WAIT + OVERDUE_AFTER;
+    let lost = [start, start + overdue_after].map(|at| begin(&mut subscription, at));
+    let changed_at = start + overdue_after + 100 * MS;
+    subscription.endpoint_changed(changed_at);
+    begin(&mut subscription, changed_at);
+    let second = begin(&mut subscription, changed_at + overdue_after);
+    let changed_again_at = changed_at + overdue_after + 100 * MS;
+    subscription.endpoint_changed(changed_again_at);
+    assert_eq!(subscription.begin(changed_again_at).unwrap().replaces, Some(lost[0]));
+    subscription.endpoint_changed(changed_again_at);
+    assert_eq!(subscription.begin(changed_again_at).unwrap().replaces, Some(lost[1]));
+    assert!(subscription.answered(second, changes(8), changed_again_at + 500 * MS).accepted);
+}
